Move work off workers that leave, and cordon workers

Cause: a worker that drained got no new task and nothing else. Its lasting tasks ended with it and started again elsewhere once their leases had run out, 5 s later; tasks that can resume lost what they had done since their last checkpoint.

Change: while a worker drains, its lasting tasks are stopped as soon as there is room elsewhere, eight at a time, and what can resume is stopped shortly before the worker's end. The same moves clear a worker that is cordoned; there no more tasks of a step are stopped than its caller lets be away. The stand-in of workers now ends lasting tasks that are stopped: it went by their length, which they do not have.

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -119,6 +119,7 @@
 	reasonUnanswered = "start not answered"
 	reasonUnwanted   = "not to run"
 	reasonStalled    = "stands still"
+	reasonLeaving    = "worker leaves"
 )
 
 // lose gives an attempt up without a word of its worker.
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -77,22 +77,26 @@
 		s.orderPaces(now, w)
 	}
 	s.unroll(now)
-	s.place(now, whole)
+	p := placement{shard: s, now: now, whole: whole}
+	p.place()
+	if whole {
+		p.evacuate()
+	}
 	s.agenda.end()
 	return s.takePending()
 }
 
 // place starts waiting tasks in order while there is room.
-func (s *Shard) place(now Instant, whole bool) {
-	s.waiting.compact()
-	if len(s.waiting.steps) == 0 {
+func (p *placement) place() {
+	waiting := &p.shard.waiting
+	waiting.compact()
+	if len(waiting.steps) == 0 {
 		return
 	}
-	if whole || !s.waiting.sorted {
-		s.waiting.sort(s.nowMS)
+	if p.whole || !waiting.sorted {
+		waiting.sort(p.shard.nowMS)
 	}
-	p := placement{shard: s, now: now, whole: whole}
-	for _, r := range s.waiting.steps {
+	for _, r := range waiting.steps {
 		p.step(r)
 		if len(r.startable) > 0 {
 			p.explain(r)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -24,6 +24,10 @@
 	inherited uint32
 	// listed is set while the worker has an entry in the platform's store.
 	listed bool
+	// leaves is when the worker ends at the earliest that drains, or zero.
+	leaves Instant
+	// cordoned is set while the worker is to be left before its upkeep.
+	cordoned bool
 	// run tells the worker's runs apart; zero until its lists were read.
 	run int64
 	// heard is set once the worker's lists were read under this owner's token.
@@ -138,6 +142,7 @@
 	}
 	w.info = info
 	w.listed = true
+	w.noteLeaving(now, info)
 	s.remix(now, w)
 	if w.run != 0 && info.Started > w.run {
 		s.restarted(now, w, info.Started)
@@ -266,7 +271,7 @@
 // usable reports whether a worker may get new tasks at all. While it runs tasks of
 // jobs that the owner does not hold, its free room is not known.
 func (w *workerState) usable() bool {
-	return w.listed && w.enrolled && w.heard && w.strangers == 0 && w.clock.known && !w.silent() && !w.info.Draining
+	return w.listed && w.enrolled && w.heard && w.strangers == 0 && w.clock.known && !w.silent() && !w.info.Draining && !w.cordoned
 }
 
 // free returns the room that is left on a worker.
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -22,6 +22,7 @@
 	mu      sync.Mutex
 	workers map[platform.WorkerID]*worker
 	jobs    map[job.ID]*truth
+	waves   []*wave
 	// violations are the broken promises, in order.
 	violations []string
 	// started are the times at which tasks were started, in order.
@@ -117,16 +118,22 @@
 
 // worker is one machine.
 type worker struct {
-	info    fleet.Worker
-	born    time.Duration
-	run     int64
-	up      bool
-	cut     bool
-	token   platform.Epoch
-	lease   platform.WorkerTime
-	running map[job.TaskRef]*attempt
-	ended   []fleet.Ended
-	next    uint64
+	// lost is set once the machine is gone for good.
+	lost bool
+	// upkeepEnds is when the upkeep of the machine is over, zero if there is none;
+	// machineToken is the highest token of orders for the machine.
+	upkeepEnds   time.Duration
+	machineToken platform.Epoch
+	info         fleet.Worker
+	born         time.Duration
+	run          int64
+	up           bool
+	cut          bool
+	token        platform.Epoch
+	lease        platform.WorkerTime
+	running      map[job.TaskRef]*attempt
+	ended        []fleet.Ended
+	next         uint64
 	// barred is the highest attempt of a task that was stopped or has ended.
 	barred map[job.TaskRef]platform.Attempt
 	// mute is how many orders are carried out without an answer.
@@ -234,7 +241,7 @@
 func (c *Cluster) Boot(now time.Duration, id platform.WorkerID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if w := c.workers[id]; !w.up {
+	if w := c.workers[id]; !w.up && !w.lost && w.upkeepEnds == 0 {
 		w.boot(now)
 	}
 }
@@ -274,6 +281,14 @@
 	c.workers[id].info.Draining = draining
 }
 
+// Leave lets a worker say that it leaves, after the given time at the earliest.
+func (c *Cluster) Leave(id platform.WorkerID, remaining time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.workers[id]
+	w.info.Draining, w.info.Remaining = true, remaining
+}
+
 // Violations returns the promises that were broken.
 func (c *Cluster) Violations() []string {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/standin/cluster/machines.go
@@ -0,0 +1,161 @@
+package cluster
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/siskinvane/siskinvane/internal/platform"
+	"github.com/siskinvane/siskinvane/internal/platform/fleet"
+	"github.com/siskinvane/siskinvane/internal/scheduler/job"
+)
+
+// Machines carry one worker each, whose name is part of the machine's.
+
+const machinePrefix = "machine-"
+
+// upkeepTime is how long a machine is down for its upkeep.
+const upkeepTime = 2 * time.Second
+
+// wave is a declared wave and what became of it.
+type wave struct {
+	fleet.Wave
+	had  map[platform.MachineID]bool
+	done bool
+}
+
+// Declare declares a wave of upkeep for the machines of some workers.
+func (c *Cluster) Declare(number int64, mostDown int, workers ...platform.WorkerID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := &wave{Wave: fleet.Wave{Number: number, MostDown: mostDown, Within: time.Minute}, had: map[platform.MachineID]bool{}}
+	for _, id := range workers {
+		w.Machines = append(w.Machines, machineOf(id))
+	}
+	c.waves = append(c.waves, w)
+}
+
+func machineOf(id platform.WorkerID) platform.MachineID {
+	return platform.MachineID(machinePrefix + id)
+}
+
+// Waves returns the waves that were declared.
+func (c *Cluster) Waves() []fleet.Wave {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []fleet.Wave
+	for _, w := range c.waves {
+		list = append(list, w.Wave)
+	}
+	return list
+}
+
+// OpenWaves counts the waves that were not reported as done.
+func (c *Cluster) OpenWaves() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, w := range c.waves {
+		if !w.done {
+			n++
+		}
+	}
+	return n
+}
+
+// Machines returns the list of machines at now.
+func (c *Cluster) Machines(now time.Duration) []fleet.Machine {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []fleet.Machine
+	for id, w := range c.workers {
+		c.finishUpkeep(now, w)
+		if w.lost {
+			continue
+		}
+		m := fleet.Machine{ID: machineOf(id), Pool: w.info.Service, State: fleet.MachineUp, Worker: id}
+		switch {
+		case w.upkeepEnds > 0:
+			m.State, m.Worker = fleet.MachineInUpkeep, ""
+		case !w.up:
+			m.State, m.Worker = fleet.MachineDown, ""
+		}
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b fleet.Machine) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return list
+}
+
+// Lose ends a worker and its machine for good.
+func (c *Cluster) Lose(id platform.WorkerID) {
+	c.Crash(id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.workers[id].lost, c.workers[id].upkeepEnds = true, 0
+}
+
+// finishUpkeep starts a worker whose machine's upkeep is over.
+func (c *Cluster) finishUpkeep(now time.Duration, w *worker) {
+	if w.upkeepEnds > 0 && now >= w.upkeepEnds {
+		w.upkeepEnds = 0
+		w.boot(now)
+	}
+}
+
+// Upkeep carries an order out.
+func (c *Cluster) Upkeep(now time.Duration, o fleet.UpkeepOrder) fleet.MachineVerdict {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.workers[platform.WorkerID(strings.TrimPrefix(string(o.Machine), machinePrefix))]
+	if w == nil || w.lost {
+		return fleet.MachineUnknown
+	}
+	i := slices.IndexFunc(c.waves, func(v *wave) bool { return v.Number == o.Wave })
+	switch {
+	case i < 0 || !slices.Contains(c.waves[i].Machines, o.Machine):
+		return fleet.MachineNotInWave
+	case c.waves[i].had[o.Machine]:
+		return fleet.MachineAccepted
+	case !w.up || w.info.Draining:
+		return fleet.MachineBusy
+	}
+	if o.Token < w.machineToken {
+		c.violate(now, "ONE", "machine %s is ordered with token %d after %d", o.Machine, o.Token, w.machineToken)
+	}
+	w.machineToken = max(w.machineToken, o.Token)
+	c.waves[i].had[o.Machine] = true
+	w.up, w.running = false, map[job.TaskRef]*attempt{}
+	w.upkeepEnds = now + upkeepTime
+	if down := c.downFor(c.waves[i]); down > c.waves[i].MostDown {
+		c.violate(now, "LIMIT", "%d machines of wave %d are down, %d are allowed", down, o.Wave, c.waves[i].MostDown)
+	}
+	return fleet.MachineAccepted
+}
+
+// downFor counts the machines of a wave that are down for upkeep.
+func (c *Cluster) downFor(v *wave) int {
+	n := 0
+	for id, w := range c.workers {
+		if w.upkeepEnds > 0 && slices.Contains(v.Machines, machineOf(id)) {
+			n++
+		}
+	}
+	return n
+}
+
+// Report takes the state of a wave in that operators are told.
+func (c *Cluster) Report(now time.Duration, number int64, done bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, v := range c.waves {
+		if v.Number != number || !done {
+			continue
+		}
+		v.done = true
+		for id, w := range c.workers {
+			if m := machineOf(id); slices.Contains(v.Machines, m) && !v.had[m] && !w.lost {
+				c.violate(now, "MIXED", "wave %d is said to be done, %s had no upkeep", number, m)
+			}
+		}
+	}
+}
--- a/internal/standin/cluster/run.go
+++ b/internal/standin/cluster/run.go
@@ -15,6 +15,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, w := range c.workers {
+		c.finishUpkeep(now, w)
 		c.advance(now, w)
 		c.measure(now, w)
 	}
@@ -28,7 +29,7 @@
 			continue
 		}
 		end := a.begun + time.Duration(float64(a.left)/w.speed)
-		if w.stalled {
+		if w.stalled || c.step(ref).LongRunning {
 			end = now + time.Hour
 		}
 		lapse := w.born + time.Duration(w.lease)
@@ -37,7 +38,7 @@
 			w.end(ref, a, fleet.EndLapsed, c.saved(lapse, w, ref, a))
 		case a.stopping > 0 && a.stopping <= now && a.stopping < end:
 			w.end(ref, a, fleet.EndStopped, c.saved(a.stopping, w, ref, a))
-		case end <= now && !c.step(ref).LongRunning:
+		case end <= now:
 			c.finish(t, w, ref, a)
 		}
 	}
