Carry out waves of upkeep

Change: a pure planner (scheduler/upkeep) picks the machines that run least, has their workers left, and orders each once nothing runs there or what ends has had 6 s for it. A machine counts as down from the record of its order, written under the owner's epoch before the order, until a list that was asked for after the answer shows it up. So an order without an answer, or of an earlier owner, never brings a wave over its bound. A new owner waits for the platform's lease before its first order; an owner that was replaced is fenced by the record. The maintainer (process/maintain) runs beside the dispatcher for as long as the host owns the shard. platform/ gains the calls and documents. Nothing is read while no wave is open.

Weighed and dropped: the machine's own state as the only truth, since an order may be carried out seconds later; all waves through the table that every host folds, since only the owner needs them.

On the way the stand-in kept machines of lost workers in its list, so that a wave could not end; mended there.

Standby pools and moves are still read past.

--- a/internal/experiment/day/day.go
+++ b/internal/experiment/day/day.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/siskinvane/siskinvane/internal/process/pause"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
@@ -48,6 +49,9 @@
 // startTime is the time that the hosts get before callers come.
 const startTime = 2 * time.Second
 
+// waveLook is the time between two looks whether all waves of upkeep are over.
+const waveLook = 500 * time.Millisecond
+
 // Run plays a day.
 func Run(p Plan, logger *logrus.Logger) (Report, error) {
 	random := rand.New(rand.NewPCG(p.Seed, 0))
@@ -69,6 +73,9 @@
 	defer cancel()
 	callers := w.load(ctx, p, random)
 	struck.Wait()
+	for w.cluster.OpenWaves() > 0 && ctx.Err() == nil {
+		_ = pause.For(ctx, waveLook)
+	}
 	for _, h := range w.live() {
 		h.kill()
 	}
@@ -98,6 +105,9 @@
 // summarize counts what happened.
 func summarize(w *world, callers []*caller) Report {
 	r := Report{Jobs: len(callers), Tasks: w.cluster.Starts(), Violations: w.cluster.Violations()}
+	if n := w.cluster.OpenWaves(); n > 0 {
+		r.Violations = append(r.Violations, fmt.Sprintf("LATE: %d waves of upkeep are not over", n))
+	}
 	var took []time.Duration
 	for _, c := range callers {
 		r.Violations = append(r.Violations, c.faults...)
--- a/internal/experiment/day/day_test.go
+++ b/internal/experiment/day/day_test.go
@@ -52,6 +52,28 @@
 	must.Eq(t, r.Jobs, r.Accepted)
 }
 
+// TestUpkeepWave carries a wave out on a day on which the owner is killed in its midst
+// and stopped later: the next owners go on from what was recorded.
+func TestUpkeepWave(t *testing.T) {
+	play(t, Plan{
+		Hosts: 3, Workers: 12, Seconds: 20, QuietSeconds: 30, JobsPerSecond: 4, Seed: 4, Faults: []Fault{
+			{AtMS: 1000, Kind: UpkeepWave, Worker: 3},
+			{AtMS: 3000, ForMS: 1000, Kind: KillHost, Host: Owner},
+			{AtMS: 9000, Kind: UpkeepWave, Worker: 5},
+			{AtMS: 12000, ForMS: 1000, Kind: StopHost, Host: Owner},
+		},
+	})
+}
+
+// TestWorkersLeave lets workers drain and end one after the other.
+func TestWorkersLeave(t *testing.T) {
+	p := Plan{Hosts: 3, Workers: 6, Seconds: 20, QuietSeconds: 30, JobsPerSecond: 6, Seed: 6}
+	for i := range 6 {
+		p.Faults = append(p.Faults, Fault{AtMS: int64(1000 + 2500*i), ForMS: 2000, Kind: DrainWorker, Worker: i})
+	}
+	play(t, p)
+}
+
 // Flags for more days than CI plays.
 var (
 	days  = flag.Int("days", 12, "days with random faults")
--- a/internal/experiment/day/faults.go
+++ b/internal/experiment/day/faults.go
@@ -33,11 +33,13 @@
 	CutHost      Kind = "cut_host"
 	LoseWorker   Kind = "lose_worker"
 	CrashWorkers Kind = "crash_workers"
+	DrainWorker  Kind = "drain_worker"
+	UpkeepWave   Kind = "upkeep_wave"
 )
 
 var kinds = []Kind{
 	KillHost, StopHost, KillAll, StoreDown, StoreBusy, StoreSlow, StoreLost, StoreLate, Redeal, Compact,
-	CrashWorker, CutWorker, MuteWorker, CutHost, LoseWorker, CrashWorkers,
+	CrashWorker, CutWorker, MuteWorker, CutHost, LoseWorker, CrashWorkers, DrainWorker, UpkeepWave,
 }
 
 // Fault is something that goes wrong.
@@ -121,7 +123,9 @@
 			w.network.Cut(h.ip, false)
 			h.view.Set(memstore.Serve, 0)
 		}
-	case CrashWorker, CutWorker, LoseWorker, CrashWorkers:
+	case UpkeepWave:
+		w.declareWave(f)
+	case CrashWorker, CutWorker, LoseWorker, CrashWorkers, DrainWorker:
 		w.strikeWorkers(f, worker, last)
 	default:
 		w.disturbStore(f.Kind, hosts, last)
@@ -205,7 +209,14 @@
 		time.Sleep(last)
 		w.cluster.Cut(id, false)
 	case LoseWorker:
+		w.cluster.Lose(id)
+	case DrainWorker:
+		w.cluster.Leave(id, last)
+		time.Sleep(last)
 		w.cluster.Crash(id)
+		time.Sleep(replacedAfter)
+		w.cluster.Drain(id, false)
+		w.cluster.Boot(w.now(), id)
 	default:
 		struck := []platform.WorkerID{id}
 		if f.Kind == CrashWorkers {
@@ -220,3 +231,20 @@
 		}
 	}
 }
+
+const (
+	// replacedAfter is the time from a worker's end until another one takes its place.
+	replacedAfter = time.Second
+	// waveMachines are the machines of a wave, waveDown how many of them may be down.
+	waveMachines = 5
+	waveDown     = 2
+)
+
+// declareWave declares a wave of upkeep for some machines.
+func (w *world) declareWave(f Fault) {
+	var some []platform.WorkerID
+	for i := range min(waveMachines, len(w.workers)) {
+		some = append(some, w.workers[(f.Worker+i)%len(w.workers)])
+	}
+	w.cluster.Declare(int64(w.waves.Add(1)), waveDown, some...)
+}
--- a/internal/experiment/day/link.go
+++ b/internal/experiment/day/link.go
@@ -18,7 +18,8 @@
 	look = 10 * time.Millisecond
 )
 
-// link is a host's way to the workers. It implements fleet.Workers.
+// link is a host's way to the workers. It implements
+// fleet.Workers and fleet.Machines.
 type link struct {
 	world *world
 	host  *host
@@ -26,7 +27,30 @@
 	alive chan struct{}
 }
 
-var _ fleet.Workers = (*link)(nil)
+var (
+	_ fleet.Workers  = (*link)(nil)
+	_ fleet.Machines = (*link)(nil)
+)
+
+// List implements fleet.Machines.
+func (l *link) List(context.Context) ([]fleet.Machine, error) {
+	if err := l.send(); err != nil {
+		return nil, err
+	}
+	list := l.world.cluster.Machines(l.world.now())
+	time.Sleep(hop)
+	return list, nil
+}
+
+// Upkeep implements fleet.Machines.
+func (l *link) Upkeep(_ context.Context, o fleet.UpkeepOrder) (fleet.MachineVerdict, error) {
+	if err := l.send(); err != nil {
+		return 0, err
+	}
+	v := l.world.cluster.Upkeep(l.world.now(), o)
+	time.Sleep(hop)
+	return v, nil
+}
 
 // send takes an order to its worker. It fails once the program was killed.
 func (l *link) send() error {
--- a/internal/experiment/day/world.go
+++ b/internal/experiment/day/world.go
@@ -35,6 +35,9 @@
 	MaxLease: 10 * time.Second, StopGrace: time.Second, GangTimeout: 3 * time.Second, RemoteFactor: 1.5,
 }
 
+// machineLease is how long orders of another owner for machines may be under way.
+const machineLease = 3 * time.Second
+
 // retention is longer than a day: hosts are asked for every job at its end.
 const retention = 10 * time.Minute
 
@@ -48,6 +51,8 @@
 	hosts   []*host
 	workers []platform.WorkerID
 	config  *queue.Config
+	// waves counts the waves of upkeep that were declared.
+	waves atomic.Int64
 }
 
 // host is one machine of the system.
@@ -103,6 +108,7 @@
 		Host: platform.HostID(fmt.Sprintf("host-%d", h.index)), Peer: netip.AddrPortFrom(h.ip, peerPort),
 		Network: h.world.network.Host(h.ip), Logger: h.world.logger, Metrics: metrics.NewRegistry(),
 		Clock: h.world.now, Bounds: bounds, Retention: retention, AppendBytes: memstore.CallBytes, Store: h.view, Workers: h.link,
+		Machines: h.link, MachineLease: machineLease, Waves: func() fleet.Waves { return &waves{host: h} },
 		Registry:     func() fleet.Registry { return &registry{host: h} },
 		Declarations: &declarations{host: h},
 	})
@@ -185,3 +191,31 @@
 	}
 	return fleet.Changes{All: true, Set: r.host.world.cluster.Entries()}, nil
 }
+
+// waves tells the waves that were declared and takes reports, while the store serves the
+// host. It implements fleet.Waves.
+type waves struct {
+	host *host
+}
+
+// Next implements fleet.Waves.
+func (w *waves) Next(ctx context.Context) (fleet.DeclaredWaves, error) {
+	select {
+	case <-ctx.Done():
+		return fleet.DeclaredWaves{}, ctx.Err()
+	case <-time.After(time.Second):
+	}
+	if err := w.host.view.Ping(ctx); err != nil {
+		return fleet.DeclaredWaves{}, err
+	}
+	return fleet.DeclaredWaves{Waves: w.host.world.cluster.Waves()}, nil
+}
+
+// Report implements fleet.Waves.
+func (w *waves) Report(ctx context.Context, wave int64, done bool) error {
+	if err := w.host.view.Ping(ctx); err != nil {
+		return err
+	}
+	w.host.world.cluster.Report(w.host.world.now(), wave, done)
+	return nil
+}
--- a/internal/platform/ids.go
+++ b/internal/platform/ids.go
@@ -6,6 +6,9 @@
 // WorkerID names one worker.
 type WorkerID string
 
+// MachineID names one machine, which carries one worker after the other.
+type MachineID string
+
 // RackID names one rack inside a failure domain.
 type RackID string
 
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -268,8 +268,20 @@
 	})
 }
 
-// mayAct reports whether the host may still give orders as the shard's owner.
-func (d *Dispatcher) mayAct() bool {
+// SetCordoned names the workers that get no new tasks and are to be left.
+func (d *Dispatcher) SetCordoned(ids []platform.WorkerID) {
+	d.update(func(s *scheduler.Shard, _ scheduler.Instant) { s.SetCordoned(ids) })
+}
+
+// LoadOf counts what may run on a worker: tasks without an end, and others.
+func (d *Dispatcher) LoadOf(id platform.WorkerID) (lasting, short int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.shard.LoadOf(id)
+}
+
+// MayAct reports whether the host may still give orders as the shard's owner.
+func (d *Dispatcher) MayAct() bool {
 	if d.stopping.Load() {
 		return false
 	}
@@ -303,7 +315,7 @@
 // plan gives the orders of one plan. A host that may not act makes none: each order
 // would fail at once and call for the next plan.
 func (d *Dispatcher) plan() {
-	if !d.mayAct() {
+	if !d.MayAct() {
 		d.reportNotes()
 		return
 	}
@@ -344,7 +356,7 @@
 
 func (d *Dispatcher) start(a scheduler.StartAction) {
 	answer, err := fleet.Answer{}, ErrFenced
-	if d.mayAct() {
+	if d.MayAct() {
 		answer, err = d.Workers.Start(d.ctx, a.Worker, a.Order)
 	}
 	if answer.Verdict == fleet.RefusedFenced {
@@ -362,7 +374,7 @@
 }
 
 func (d *Dispatcher) stop(a scheduler.StopAction) {
-	if !d.mayAct() {
+	if !d.MayAct() {
 		return
 	}
 	answer, err := d.Workers.Stop(d.ctx, a.Worker, a.Order)
@@ -375,7 +387,7 @@
 
 func (d *Dispatcher) pace(a scheduler.PaceAction) {
 	answer, err := fleet.Answer{}, ErrFenced
-	if d.mayAct() {
+	if d.MayAct() {
 		answer, err = d.Workers.Pace(d.ctx, a.Worker, a.Order)
 	}
 	if answer.Verdict == fleet.RefusedFenced {
--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -26,12 +26,12 @@
 		Confirmed: func() time.Duration { return age },
 	})
 	must.NoError(t, err)
-	must.True(t, d.mayAct())
+	must.True(t, d.MayAct())
 	age = scheduler.AuthorityWindow
-	must.False(t, d.mayAct())
+	must.False(t, d.MayAct())
 	age = 0
 	d.stopping.Store(true)
-	must.False(t, d.mayAct())
+	must.False(t, d.MayAct())
 }
 
 // startable gives the dispatcher's shard a worker with room and a task for it.
--- a/internal/process/dispatch/hold.go
+++ b/internal/process/dispatch/hold.go
@@ -38,7 +38,7 @@
 		if !ok {
 			return
 		}
-		if d.mayAct() && d.holdOnce(sent, worker, order, failures == 0) {
+		if d.MayAct() && d.holdOnce(sent, worker, order, failures == 0) {
 			failures = 0
 			d.awaitRecord(id)
 			d.unhurried(id)
--- a/internal/process/event/job.go
+++ b/internal/process/event/job.go
@@ -39,4 +39,9 @@
 	QueuesInForce   = declare(7303, logrus.InfoLevel, "queues in force")
 	QueuesRefused   = declare(7304, logrus.WarnLevel, "queues not usable")
 	EntryUnreadable = declare(7305, logrus.WarnLevel, "worker's entry unreadable")
+
+	UpkeepOrdered       = declare(7401, logrus.InfoLevel, "upkeep of a machine ordered")
+	WaveReported        = declare(7402, logrus.InfoLevel, "state of a wave reported")
+	MachinesUnreachable = declare(7403, logrus.WarnLevel, "list of machines not read")
+	WaveUnreadable      = declare(7404, logrus.WarnLevel, "wave unreadable")
 )
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -45,7 +45,12 @@
 	Store   store.Store
 	Workers fleet.Workers
 	// Advisor is nil if the platform has no advice service.
-	Advisor      fleet.Advisor
+	Advisor fleet.Advisor
+	// Machines is nil if the platform has no service for machines.
+	Machines fleet.Machines
+	Waves    func() fleet.Waves
+	// MachineLease is how long orders of another owner for machines may be under way.
+	MachineLease time.Duration
 	Registry     func() fleet.Registry
 	Declarations queue.Source
 }
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -10,6 +10,7 @@
 	"github.com/siskinvane/siskinvane/internal/platform/store"
 	"github.com/siskinvane/siskinvane/internal/process/dispatch"
 	"github.com/siskinvane/siskinvane/internal/process/event"
+	"github.com/siskinvane/siskinvane/internal/process/maintain"
 	"github.com/siskinvane/siskinvane/internal/process/pause"
 	"github.com/siskinvane/siskinvane/internal/scheduler"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
@@ -84,11 +85,28 @@
 	n.dispatcher, n.workers = d, stop
 	n.mu.Unlock()
 	n.done.Go(func() { n.followWorkers(watch, d) })
+	n.maintain(watch, d, previous)
 	n.count("shard.taken_over")
 	event.OwnershipGained.Log(n.Logger, logrus.Fields{"epoch": epoch, "claim": own.Claim, "previous": previous.Host, "jobs": len(n.table.All())})
 	return nil
 }
 
+// maintain carries out the waves of upkeep while this host owns the shard.
+func (n *Node) maintain(ctx context.Context, d *dispatch.Dispatcher, previous job.Ownership) {
+	if n.Machines == nil {
+		return
+	}
+	var from time.Duration
+	if previous.Claim > 0 {
+		from = n.Clock() + n.MachineLease
+	}
+	m := maintain.New(maintain.Config{
+		Shard: d, Machines: n.Machines, Waves: n.Waves(), Holder: n.Host, Token: d.Ownership.Epoch, OrdersFrom: from,
+		Recorded: n.table.Waves(), Clock: n.Clock, Logger: n.Logger, Metrics: n.Metrics,
+	})
+	n.done.Go(func() { m.Run(ctx) })
+}
+
 // announce makes the store refuse writers of earlier epochs.
 func (n *Node) announce(ctx context.Context, w *store.Writer) error {
 	for {
--- a/internal/process/settings/scheduler.go
+++ b/internal/process/settings/scheduler.go
@@ -20,7 +20,7 @@
 	// Metrics is the address of the metrics page; without it there is none.
 	Metrics netip.AddrPort `json:"metrics,omitzero"`
 	// Store, Machines and Advice are the addresses of the platform's services.
-	// Advice is optional.
+	// Machines and Advice are optional; without Machines no upkeep is carried out.
 	Store    netip.AddrPort `json:"store"`
 	Machines netip.AddrPort `json:"machines,omitzero"`
 	Advice   netip.AddrPort `json:"advice,omitzero"`
@@ -40,6 +40,9 @@
 	StopGraceMS int64 `json:"stop_grace_ms"`
 	// GangTimeoutMS is how long the members of a gang wait for each other.
 	GangTimeoutMS int64 `json:"gang_timeout_ms"`
+	// MachineLeaseMS is how long orders of another owner for machines may be under way;
+	// a new owner gives none until then.
+	MachineLeaseMS int64 `json:"machine_lease_ms,omitempty"`
 	// ShutdownSeconds is the time between the first signal and the end.
 	ShutdownSeconds float64 `json:"shutdown_s"`
 	// RemoteFactor is how much longer a task takes away from its data.
@@ -87,6 +90,7 @@
 	jsonfield.Range(c, "bounds.max_lease_ms", s.Bounds.MaxLeaseMS, 1, maxBoundMS)
 	jsonfield.Range(c, "bounds.stop_grace_ms", s.Bounds.StopGraceMS, 0, maxBoundMS)
 	jsonfield.Range(c, "bounds.gang_timeout_ms", s.Bounds.GangTimeoutMS, 0, maxBoundMS)
+	jsonfield.Range(c, "bounds.machine_lease_ms", s.Bounds.MachineLeaseMS, 0, maxBoundMS)
 	jsonfield.Range(c, "bounds.shutdown_s", s.Bounds.ShutdownSeconds, 0, maxShutdownSeconds)
 	jsonfield.Range(c, "bounds.remote_factor", s.Bounds.RemoteFactor, 0, maxRemoteFactor)
 	jsonfield.Range(c, "bounds.retention_s", s.Bounds.RetentionSeconds, 1, maxRetention)
--- a/internal/program/scheduler.go
+++ b/internal/program/scheduler.go
@@ -95,6 +95,7 @@
 	logger    *logrus.Logger
 	store     *platform.Store
 	advisor   *platform.Advisor
+	machines  *platform.Machines
 	node      *node.Node
 	intake    *intake.Server
 	readiness *web.Server
@@ -121,11 +122,18 @@
 		p.advisor = platform.NewAdvisor(http, s.Advice)
 		advisor = p.advisor
 	}
+	var machines fleet.Machines
+	if s.Machines.IsValid() {
+		p.machines = platform.NewMachines(http, s.Machines)
+		machines = p.machines
+	}
 	p.apply(s)
 	n, err := node.Start(node.Config{
 		Host: s.Host, Peer: s.Peer, Network: peer.TCP, Logger: logger, Metrics: registry, Clock: bootclock.Now,
 		Bounds: boundsOf(s), Retention: settings.Seconds(s.Bounds.RetentionSeconds), AppendBytes: s.Bounds.AppendBytes,
 		Store: store, Workers: platform.NewWorkers(http), Advisor: advisor,
+		Machines: machines, MachineLease: settings.Milliseconds(s.Bounds.MachineLeaseMS),
+		Waves:        func() fleet.Waves { return platform.NewWaves(store) },
 		Registry:     func() fleet.Registry { return platform.NewRegistry(store) },
 		Declarations: platform.NewDeclarations(store),
 	})
@@ -189,6 +197,9 @@
 	if p.advisor != nil && s.Advice.IsValid() {
 		p.advisor.MoveTo(s.Advice)
 	}
+	if p.machines != nil && s.Machines.IsValid() {
+		p.machines.MoveTo(s.Machines)
+	}
 }
 
 // reload applies changed settings. The host's own name and addresses stay as they
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -139,6 +139,7 @@
 	ownershipKey    = "owner"
 	enrollmentKey   = "worker/"
 	learnedKey      = "learned"
+	waveKey         = "wave/"
 )
 
 // cancelled is the value of a cancellation; an empty one would drop the key.
@@ -178,6 +179,11 @@
 	return store.Record{Key: learnedKey, Value: value}
 }
 
+// WaveRecord returns the record of a wave of upkeep. Its value is the planner's.
+func WaveRecord(number int64, value []byte) store.Record {
+	return store.Record{Key: waveKey + strconv.FormatInt(number, 10), Value: value}
+}
+
 // DropRecords returns the records that drop all keys of a job. The submission
 // goes last: without it the job is unknown.
 func DropRecords(id ID) []store.Record {
@@ -194,7 +200,7 @@
 	return store.Record{Key: key, Value: value}, nil
 }
 
-// splitKey returns the kind of a key and the job, or the worker, that it names.
+// splitKey returns the kind of a key and the job, the worker or the wave that it names.
 func splitKey(key string) (kind string, id ID) {
 	for _, k := range []string{submissionKey, progressKey, cancellationKey} {
 		if strings.HasPrefix(key, k) && len(key) == len(k)+idLength {
@@ -204,5 +210,8 @@
 	if id, ok := strings.CutPrefix(key, enrollmentKey); ok {
 		return enrollmentKey, ID(id)
 	}
+	if number, ok := strings.CutPrefix(key, waveKey); ok {
+		return waveKey, ID(number)
+	}
 	return key, ""
 }
--- a/internal/scheduler/job/table.go
+++ b/internal/scheduler/job/table.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -41,11 +43,13 @@
 	// workers are those on which tasks may run.
 	workers map[platform.WorkerID]Enrollment
 	learned []byte
+	// waves are the records of the waves of upkeep, by number.
+	waves map[int64][]byte
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{jobs: map[ID]*Entry{}, workers: map[platform.WorkerID]Enrollment{}}
+	return &Table{jobs: map[ID]*Entry{}, workers: map[platform.WorkerID]Enrollment{}, waves: map[int64][]byte{}}
 }
 
 // Apply folds a page of the log into the table and returns the jobs that were
@@ -91,6 +95,8 @@
 	case learnedKey:
 		t.learned = r.Value
 		return nil, nil
+	case waveKey:
+		return nil, t.applyWave(string(id), r.Value)
 	case enrollmentKey:
 		return nil, t.applyEnrollment(platform.WorkerID(id), r.Value, now)
 	}
@@ -178,6 +184,26 @@
 	return nil
 }
 
+func (t *Table) applyWave(name string, value []byte) error {
+	number, err := strconv.ParseInt(name, 10, 64)
+	if err != nil {
+		return fmt.Errorf("record of wave %q: %w", name, err)
+	}
+	if len(value) == 0 {
+		delete(t.waves, number)
+		return nil
+	}
+	t.waves[number] = value
+	return nil
+}
+
+// Waves returns the records of the waves of upkeep, by number.
+func (t *Table) Waves() map[int64][]byte {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return maps.Clone(t.waves)
+}
+
 // Learned returns what the latest owner has learned, or nil.
 func (t *Table) Learned() []byte {
 	t.mu.RLock()
