--- a/internal/experiment/day/logs_test.go
+++ b/internal/experiment/day/logs_test.go
@@ -23,7 +23,7 @@
 // TestNobodyReadsTheLogs plays the same 30 s with an output that nobody reads and with
 // none: callers are answered alike, and the lines that found no place are counted.
 func TestNobodyReadsTheLogs(t *testing.T) {
-	plan := Plan{Hosts: 3, Workers: 6, Seconds: 30, QuietSeconds: 20, JobsPerSecond: 5, Seed: 9}
+	plan := Plan{Hosts: 3, Workers: 8, Seconds: 30, QuietSeconds: 20, JobsPerSecond: 10, Seed: 9}
 	quiet := play(t, plan)
 	synctest.Test(t, func(t *testing.T) {
 		out := unread{released: make(chan struct{})}
--- a/internal/scheduler/harm_test.go
+++ b/internal/scheduler/harm_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -71,6 +72,46 @@
 	must.Less(t, 2*time.Second, over, must.Sprint("time over the target"))
 }
 
+// TestBurstsOfWorseFillers lets bursts of fillers come to workers that are in use. The
+// tasks of a burst take more than those of the burst before, which cannot be known
+// before their first figures. Serving tasks are over their target for a tenth of the
+// time at most, and the fillers get on.
+func TestBurstsOfWorseFillers(t *testing.T) {
+	const workers = 6
+	r := newRig(t, workers)
+	costs := map[string]float64{"burst": 0.04}
+	latency := queueing(costs)
+	r.cluster.Interfere(latency)
+	for i := range workers {
+		r.submit(fmt.Sprintf("%016x", 100+i), nil, nil, serving(4, "web"))
+	}
+	r.play(2 * time.Second)
+	over, all := 0, 0
+	var bursts []job.ID
+	for i := range 12 {
+		costs["burst"] = 0.04 + 0.1*float64(i%2)
+		for k := range 4 {
+			bursts = append(bursts, r.submit(fmt.Sprintf("%016x", 1000+10*i+k), seconds(1), nil, filler(8, "burst")))
+		}
+		for range 60 {
+			r.round()
+			for w := range workers {
+				all++
+				if latency(nil, r.cluster.Fillers(workerInfo(w).ID)) > targetMS {
+					over++
+				}
+			}
+		}
+	}
+	t.Logf("over the target for %.3f of the time", float64(over)/float64(all))
+	must.Less(t, all/10, over)
+	r.play(5 * time.Second)
+	for _, id := range bursts {
+		must.Eq(t, job.Done, r.state(id))
+	}
+	r.clean()
+}
+
 // TestHaltWithoutBlame: a serving task that stays a little over its target, beside
 // tasks that were never seen to take anything from it, loses them all the same
 // before the platform's bound of 4 s.
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -26,6 +26,11 @@
 	paceMargin = 0.05
 	// caution is how many standard deviations of a cost are added to it.
 	caution = 0.5
+	// unmeasuredDoubt is the part by which the effect of neighbours may be
+	// underestimated of which no figure tells yet. On the days of 66 workers serving
+	// tasks that went over their target had lost 1.7 times as much as expected to the
+	// neighbours of the last 0.7 s.
+	unmeasuredDoubt = 0.7
 )
 
 const (
@@ -63,13 +68,27 @@
 			return false
 		}
 		cost := s.cost(a, image, share)
-		if a.room-cost < floor(a.taken+cost) {
+		doubt := unmeasuredDoubt * s.unmeasured(now, a, w)
+		if a.room-cost-doubt < floor(a.taken+cost) {
 			return false
 		}
 	}
 	return true
 }
 
+// unmeasured returns the headroom that the neighbours of a serving task take that came
+// so late that no figure tells of their whole effect. They mostly are tasks of one job
+// and so of one image: if one takes more than expected, all do.
+func (s *Shard) unmeasured(now Instant, victim *attempt, w *workerState) float64 {
+	total := 0.0
+	for _, a := range w.mix.fillers {
+		if a.begun == 0 || now-a.begun < measuredOver {
+			total += s.cost(victim, a.image, w.share(a.task.step.step, a.percent))
+		}
+	}
+	return total
+}
+
 // pace slows what disturbs the serving tasks of a worker, and lets it go on when
 // there is headroom for it.
 func (s *Shard) pace(now Instant, w *workerState) {
