--- a/internal/experiment/day/world.go
+++ b/internal/experiment/day/world.go
@@ -32,7 +32,7 @@
 )
 
 var bounds = scheduler.Bounds{
-	MaxLease: 10 * time.Second, StopGrace: time.Second, GangTimeout: 3 * time.Second, RemoteFactor: 1.5,
+	MaxLease: 10 * time.Second, StopGrace: time.Second, RemoteFactor: 1.5,
 }
 
 // machineLease is how long orders of another owner for machines may be under way.
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -238,7 +238,10 @@
 func (d *Dispatcher) Enroll(list []job.Enrollment) {
 	d.update(func(s *scheduler.Shard, _ scheduler.Instant) {
 		for _, e := range list {
-			s.Enroll(e)
+			if err := s.Enroll(e); err != nil {
+				event.RecordUnreadable.Log(d.Logger, logrus.Fields{"error": err})
+				continue
+			}
 			d.hold(e.Worker)
 		}
 	})
--- a/internal/process/settings/scheduler.go
+++ b/internal/process/settings/scheduler.go
@@ -38,8 +38,6 @@
 	MaxLeaseMS int64 `json:"max_lease_ms"`
 	// StopGraceMS is how long a stopped task may still run.
 	StopGraceMS int64 `json:"stop_grace_ms"`
-	// GangTimeoutMS is how long the members of a gang wait for each other.
-	GangTimeoutMS int64 `json:"gang_timeout_ms"`
 	// MachineLeaseMS is how long orders of another owner for machines may be under way;
 	// a new owner gives none until then.
 	MachineLeaseMS int64 `json:"machine_lease_ms,omitempty"`
@@ -89,7 +87,6 @@
 	jsonfield.Range(c, "processors", s.Processors, 1, maxProcessors)
 	jsonfield.Range(c, "bounds.max_lease_ms", s.Bounds.MaxLeaseMS, 1, maxBoundMS)
 	jsonfield.Range(c, "bounds.stop_grace_ms", s.Bounds.StopGraceMS, 0, maxBoundMS)
-	jsonfield.Range(c, "bounds.gang_timeout_ms", s.Bounds.GangTimeoutMS, 0, maxBoundMS)
 	jsonfield.Range(c, "bounds.machine_lease_ms", s.Bounds.MachineLeaseMS, 0, maxBoundMS)
 	jsonfield.Range(c, "bounds.shutdown_s", s.Bounds.ShutdownSeconds, 0, maxShutdownSeconds)
 	jsonfield.Range(c, "bounds.remote_factor", s.Bounds.RemoteFactor, 0, maxRemoteFactor)
--- a/internal/process/settings/scheduler_test.go
+++ b/internal/process/settings/scheduler_test.go
@@ -17,7 +17,7 @@
   "host": "h1", "failure_domain": "catania",
   "callers": "10.1.0.1:80", "readiness": "10.1.0.1:81", "peer": "10.1.0.1:82",
   "store": "10.9.0.1:80", "memory_mb": 284, "processors": 1,
-  "bounds": {"max_lease_ms": 10000, "stop_grace_ms": 900, "gang_timeout_ms": 3000, "shutdown_s": 6, "remote_factor": 1.5, "retention_s": 120, "append_bytes": 2097152}
+  "bounds": {"max_lease_ms": 10000, "stop_grace_ms": 900, "shutdown_s": 6, "remote_factor": 1.5, "retention_s": 120, "append_bytes": 2097152}
 }`
 
 func writeFile(t *testing.T, path, text string) {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -18,9 +18,9 @@
 	"github.com/siskinvane/siskinvane/internal/process/telemetry"
 )
 
-// Options are the flags of the programs that run on an entry host.
+// Options are the flags of the long-running programs.
 type Options struct {
-	Settings string `long:"settings" value-name:"FILE" description:"JSON settings file (required)"`
+	Settings string `long:"settings" env:"SISKINVANE_SETTINGS" value-name:"FILE" description:"JSON settings file (required)"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
 	Version  bool   `long:"version" description:"print the version and exit"`
 }
@@ -44,27 +44,37 @@
 	})
 }
 
-// host runs a program of an entry host from its flags to its stop.
-func host(
-	name string, args []string, out, errOut io.Writer,
-	start func(settings.Host, *logrus.Logger, *telemetry.Tracing) (stopper, error),
-) int {
+// load reads a program's flags and its settings file, whose path it returns as well.
+// Without ok the program ends with the code.
+func load[S any](name string, args []string, out, errOut io.Writer, read func(path string) (S, error)) (s S, path string, code int, ok bool) {
 	var o Options
 	if code, ok := parse(name, &o, args, out, errOut); !ok {
-		return code
+		return s, "", code, false
 	}
 	if o.Version {
 		fmt.Fprintln(out, name, run.Version)
-		return run.ExitOK
+		return s, "", run.ExitOK, false
 	}
-	h, err := settings.Load(o.Settings)
+	s, err := read(o.Settings)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
-		return run.ExitUsage
+		return s, "", run.ExitUsage, false
 	}
 	if o.Check {
 		fmt.Fprintln(out, "settings are valid")
-		return run.ExitOK
+		return s, "", run.ExitOK, false
+	}
+	return s, o.Settings, run.ExitOK, true
+}
+
+// host runs a program of an entry host from its flags to its stop.
+func host(
+	name string, args []string, out, errOut io.Writer,
+	start func(settings.Host, *logrus.Logger, *telemetry.Tracing) (stopper, error),
+) int {
+	h, _, code, ok := load(name, args, out, errOut, settings.Load)
+	if !ok {
+		return code
 	}
 	logger := run.NewLogger(errOut, h.LogLevel)
 	event.ProcessStarted.Log(logger, logrus.Fields{"program": name, "version": run.Version, "host": h.ID})
--- a/internal/program/scheduler.go
+++ b/internal/program/scheduler.go
@@ -33,33 +33,13 @@
 	"github.com/siskinvane/siskinvane/platform"
 )
 
-// schedulerOptions are the flags of siskin-scheduler.
-type schedulerOptions struct {
-	Settings string `long:"settings" env:"SISKINVANE_SETTINGS" value-name:"FILE" description:"JSON settings file (required)"`
-	Check    bool   `long:"check" description:"check the settings and exit"`
-	Version  bool   `long:"version" description:"print the version and exit"`
-}
-
 // Scheduler runs siskin-scheduler and returns its exit code.
 func Scheduler(args []string, out, errOut io.Writer) int {
 	const name = "siskin-scheduler"
-	var o schedulerOptions
-	if code, ok := parse(name, &o, args, out, errOut); !ok {
+	s, path, code, ok := load(name, args, out, errOut, settings.LoadScheduler)
+	if !ok {
 		return code
 	}
-	if o.Version {
-		fmt.Fprintln(out, name, run.Version)
-		return run.ExitOK
-	}
-	s, err := settings.LoadScheduler(o.Settings)
-	if err != nil {
-		fmt.Fprintln(errOut, err)
-		return run.ExitUsage
-	}
-	if o.Check {
-		fmt.Fprintln(out, "settings are valid")
-		return run.ExitOK
-	}
 	logger, lines := run.NewBoundedLogger(out, s.LogLevel)
 	defer lines.Close()
 	event.ProcessStarted.Log(logger, logrus.Fields{"program": name, "version": run.Version, "host": s.Host})
@@ -73,7 +53,7 @@
 	signal.Notify(hangup, syscall.SIGHUP)
 	watch, stop := context.WithCancel(context.Background())
 	defer stop()
-	go settings.Watch(watch, o.Settings, s, hangup, p.reload, func(err error) {
+	go settings.Watch(watch, path, s, hangup, p.reload, func(err error) {
 		event.SettingsRefused.Log(logger, logrus.Fields{"error": err})
 	})
 	return run.UntilSignal(logger, p.Stop)
@@ -184,7 +164,7 @@
 func boundsOf(s settings.Scheduler) scheduler.Bounds {
 	return scheduler.Bounds{
 		MaxLease: settings.Milliseconds(s.Bounds.MaxLeaseMS), StopGrace: settings.Milliseconds(s.Bounds.StopGraceMS),
-		GangTimeout: settings.Milliseconds(s.Bounds.GangTimeoutMS), RemoteFactor: s.Bounds.RemoteFactor,
+		RemoteFactor: s.Bounds.RemoteFactor,
 	}
 }
 
--- a/internal/scheduler/rig_test.go
+++ b/internal/scheduler/rig_test.go
@@ -23,7 +23,7 @@
 )
 
 var bounds = scheduler.Bounds{
-	MaxLease: 10 * time.Second, StopGrace: time.Second, GangTimeout: 3 * time.Second, RemoteFactor: 1.5,
+	MaxLease: 10 * time.Second, StopGrace: time.Second, RemoteFactor: 1.5,
 }
 
 // rig runs a shard against a cluster, one round after the other, without
@@ -86,7 +86,7 @@
 	r.shard.Claimed(r.now)
 	r.shard.SetConfig(r.config)
 	for _, e := range r.enrolled {
-		r.shard.Enroll(e)
+		must.NoError(r.t, r.shard.Enroll(e))
 	}
 	for id, e := range r.entries {
 		e.Progress = r.log[id]
@@ -114,10 +114,16 @@
 
 // submit accepts a job whose tasks take a second unless length says otherwise.
 func (r *rig) submit(id string, length func(job.TaskRef) time.Duration, fails func(job.TaskRef, platform.Attempt) bool, steps ...job.Step) job.ID {
+	return r.submitAs(id, func(*job.Submission) {}, length, fails, steps...)
+}
+
+// submitAs is submit with other fields of the submission.
+func (r *rig) submitAs(id string, change func(*job.Submission), length func(job.TaskRef) time.Duration, fails func(job.TaskRef, platform.Attempt) bool, steps ...job.Step) job.ID {
 	s := &job.Submission{
 		Queue: queueName, Service: service, MaxFailures: 3, Stretch: 2, TargetMS: 1000, AcceptedMS: r.now.Milliseconds(),
 		Spec: job.Spec{Payload: "payload of " + id, Steps: steps},
 	}
+	change(s)
 	e := &job.Entry{ID: job.ID(id), Submission: s}
 	r.entries[e.ID] = e
 	r.cluster.Job(e.ID, s, length, fails)
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -25,8 +25,6 @@
 	MaxLease time.Duration
 	// StopGrace is how long a stopped task may still run.
 	StopGrace time.Duration
-	// GangTimeout is how long a gang's members wait for each other.
-	GangTimeout time.Duration
 	// RemoteFactor is how much longer a task takes away from its data.
 	RemoteFactor float64
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"time"
@@ -170,16 +171,18 @@
 }
 
 // Enroll takes over a worker on which an earlier owner may have started tasks. It
-// need not have an entry in the platform's store.
-func (s *Shard) Enroll(e job.Enrollment) {
+// need not have an entry in the platform's store. An error says that the record names
+// no address; what may run there is then known once the worker has an entry.
+func (s *Shard) Enroll(e job.Enrollment) error {
 	addr, err := netip.ParseAddrPort(e.Addr)
 	if err != nil {
-		return
+		return fmt.Errorf("enrollment of worker %s: %w", e.Worker, err)
 	}
 	w := s.worker(e.Worker)
 	w.info = fleet.Worker{ID: e.Worker, Addr: addr, Service: e.Service, Room: e.Room}
 	w.inherited = e.Claim
 	s.inherited.workers++
+	return nil
 }
 
 // restarted drops what an earlier run of a worker has listed: nothing of it runs
--- a/internal/standin/cluster/run.go
+++ b/internal/standin/cluster/run.go
@@ -221,6 +221,10 @@
 	if !w.reach() {
 		return fleet.Answer{}, false
 	}
+	if o.Token < w.token {
+		return fleet.Answer{Verdict: fleet.RefusedFenced, Clock: w.clock(now)}, w.answers()
+	}
+	w.token = o.Token
 	if a := w.running[o.Task]; a != nil && a.number == o.Attempt {
 		a.percent = o.Percent
 	}
