--- a/internal/scheduler/upkeep/upkeep.go
+++ b/internal/scheduler/upkeep/upkeep.go
@@ -20,8 +20,18 @@
 	// which the platform has accepted it.
 	Ordered []platform.MachineID `cbor:"1,keyasint,omitempty"`
 	Begun   []platform.MachineID `cbor:"2,keyasint,omitempty"`
-	// Done is set once every machine that is still there has begun its upkeep.
-	Done bool `cbor:"3,keyasint,omitempty"`
+	// Done is set once every machine that is still there has begun its upkeep; Gone are
+	// the others.
+	Done bool                 `cbor:"3,keyasint,omitempty"`
+	Gone []platform.MachineID `cbor:"4,keyasint,omitempty"`
+}
+
+// over reports whether the wave is done as it is declared now: operators may add
+// machines to one that was done.
+func (p *Progress) over(declared fleet.Wave) bool {
+	return p.Done && !slices.ContainsFunc(declared.Machines, func(id platform.MachineID) bool {
+		return !slices.Contains(p.Begun, id) && !slices.Contains(p.Gone, id)
+	})
 }
 
 // Load is what runs on a worker.
@@ -103,7 +113,7 @@
 
 // Open reports whether a wave is not over.
 func (p *Planner) Open(waves []fleet.Wave) bool {
-	return slices.ContainsFunc(waves, func(w fleet.Wave) bool { return !p.wave(w.Number).progress.Done })
+	return slices.ContainsFunc(waves, func(w fleet.Wave) bool { return !p.wave(w.Number).progress.over(w) })
 }
 
 // Ordered notes that an order for a machine is about to be given.
@@ -143,13 +153,14 @@
 	slices.SortFunc(waves, func(a, b fleet.Wave) int { return cmp.Compare(a.Number, b.Number) })
 	for _, declared := range waves {
 		w := p.wave(declared.Number)
-		if w.progress.Done {
+		if w.progress.over(declared) {
 			continue
 		}
+		w.progress.Done, w.progress.Gone = false, nil
 		w.noteBack(s.ReadAt, machines)
 		left := w.left(declared, machines)
 		if len(left) == 0 {
-			w.progress.Done = true
+			w.finish(declared)
 			steps.Done = append(steps.Done, declared.Number)
 			continue
 		}
@@ -165,6 +176,16 @@
 	return steps
 }
 
+// finish notes that no machine of the wave is left.
+func (w *wave) finish(declared fleet.Wave) {
+	w.progress.Done = true
+	for _, id := range declared.Machines {
+		if !slices.Contains(w.progress.Begun, id) {
+			w.progress.Gone = append(w.progress.Gone, id)
+		}
+	}
+}
+
 // noteBack notes the machines that are up again, by a list that was asked for after
 // their orders were accepted.
 func (w *wave) noteBack(readAt Instant, machines map[platform.MachineID]fleet.Machine) {
--- a/internal/scheduler/upkeep/upkeep_test.go
+++ b/internal/scheduler/upkeep/upkeep_test.go
@@ -176,3 +176,17 @@
 	second.Number = 8
 	must.Eq(t, []upkeep.Order{{Wave: 7, Machine: "m0"}}, y.plan(p, second, wave(1, 1)).Order)
 }
+
+// TestMachinesAddedToAWave: a wave that is done goes on when operators add machines.
+func TestMachinesAddedToAWave(t *testing.T) {
+	y := newYard(2)
+	p := upkeep.New(nil)
+	y.plan(p, wave(1, 1))
+	p.Ordered(7, "m0")
+	p.Answered(y.now, 7, "m0", fleet.MachineAccepted)
+	must.Eq(t, []int64{7}, y.plan(p, wave(1, 1)).Done)
+	y.advance(time.Second)
+	must.True(t, p.Open([]fleet.Wave{wave(2, 1)}))
+	must.Eq(t, []upkeep.Order{{Wave: 7, Machine: "m1"}}, y.plan(p, wave(2, 1)).Order)
+	must.False(t, p.Progress(7).Done)
+}
