--- a/internal/experiment/day/callers.go
+++ b/internal/experiment/day/callers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/siskinvane/siskinvane/internal/platform"
@@ -23,7 +24,11 @@
 	// cancelShare is the fraction of jobs that are cancelled, failShare the fraction
 	// of attempts that fail.
 	cancelShare = 0.05
-	failShare   = 0.02
+	// minStay and maxStay bound the time after which the caller of a long-running job
+	// cancels it.
+	minStay   = 4 * time.Second
+	maxStay   = 12 * time.Second
+	failShare = 0.02
 )
 
 // caller submits one job and polls its state until the job has ended.
@@ -32,6 +37,8 @@
 	random     *rand.Rand
 	id         job.ID
 	submission *job.Submission
+	// longRunning is set if the job runs until its caller cancels it.
+	longRunning bool
 
 	accepted, cancelled, refused bool
 	// cancelRequested is set once the caller has requested cancellation. The
@@ -46,10 +53,16 @@
 
 // newCaller draws a job and registers its task durations and failures with the
 // simulated workers.
-func newCaller(sim *simulation, number int, random *rand.Rand) *caller {
+func newCaller(sim *simulation, number int, p Plan, random *rand.Rand) *caller {
 	c := &caller{sim: sim, random: random, id: job.ID(fmt.Sprintf("%016x", number))}
 	spec := job.Spec{Payload: "job " + string(c.id)}
-	for i := range 1 + random.IntN(3) {
+	spec.Payload += strings.Repeat(".", max(0, p.PayloadBytes-len(spec.Payload)))
+	if c.longRunning = p.LongRunningShare > 0 && random.Float64() < p.LongRunningShare; c.longRunning {
+		spec.Steps = []job.Step{{
+			Tasks: 1 + random.IntN(8), Size: platform.Resources{MilliCPU: 2000, MemoryMB: 4000}, LongRunning: true,
+		}}
+	}
+	for i := range drawSteps(c.longRunning, random) {
 		step := job.Step{
 			Tasks:      1 + random.IntN(8),
 			Size:       platform.Resources{MilliCPU: 1000 + random.Int64N(4000), MemoryMB: 2000 + random.Int64N(6000)},
@@ -79,6 +92,14 @@
 	return c
 }
 
+// drawSteps draws the number of batch steps of a job.
+func drawSteps(longRunning bool, random *rand.Rand) int {
+	if longRunning {
+		return 0
+	}
+	return 1 + random.IntN(3)
+}
+
 // run submits the job and polls it until it has ended or ctx is done.
 func (c *caller) run(ctx context.Context) {
 	submittedAt := c.sim.now()
@@ -86,7 +107,10 @@
 		return
 	}
 	cancelAt := time.Duration(-1)
-	if c.random.Float64() < cancelShare {
+	switch {
+	case c.longRunning:
+		cancelAt = c.sim.now() + minStay + time.Duration(c.random.Int64N(int64(maxStay-minStay)))
+	case c.random.Float64() < cancelShare:
 		cancelAt = c.sim.now() + time.Duration(c.random.Int64N(int64(2*time.Second)))
 	}
 	for ctx.Err() == nil {
--- a/internal/experiment/day/command.go
+++ b/internal/experiment/day/command.go
@@ -99,6 +99,9 @@
 	maxSeconds       = 3600
 	maxJobsPerSecond = 200
 	maxRandomFaults  = 1000
+	maxPayloadBytes  = 4000
+	// maxLinkKBPerSecond is a link of 10 Gbit/s.
+	maxLinkKBPerSecond = 1.25e6
 )
 
 func (p *Plan) validate() error {
@@ -113,6 +116,9 @@
 		{"quiet_seconds", float64(p.QuietSeconds), 1, maxSeconds},
 		{"jobs_per_second", p.JobsPerSecond, 0.01, maxJobsPerSecond},
 		{"random_faults", float64(p.RandomFaults), 0, maxRandomFaults},
+		{"payload_bytes", float64(p.PayloadBytes), 0, maxPayloadBytes},
+		{"long_running_share", p.LongRunningShare, 0, 1},
+		{"link_kb_per_second", p.LinkKBPerSecond, 0, maxLinkKBPerSecond},
 	}
 	for _, f := range ranges {
 		if f.value < f.low || f.value > f.high {
--- a/internal/experiment/day/day.go
+++ b/internal/experiment/day/day.go
@@ -25,7 +25,15 @@
 	Seconds       int     `json:"seconds"`
 	QuietSeconds  int     `json:"quiet_seconds"`
 	JobsPerSecond float64 `json:"jobs_per_second"`
-	Faults        []Fault `json:"faults,omitempty"`
+	// PayloadBytes is the size of the payload that each start order carries. Zero stands
+	// for a few bytes.
+	PayloadBytes int `json:"payload_bytes,omitempty"`
+	// LongRunningShare is the fraction of jobs that run until their callers cancel them.
+	LongRunningShare float64 `json:"long_running_share,omitempty"`
+	// LinkKBPerSecond is the bandwidth, in 1000 bytes per second and direction, of each
+	// host's link to the workers. Zero stands for no limit.
+	LinkKBPerSecond float64 `json:"link_kb_per_second,omitempty"`
+	Faults          []Fault `json:"faults,omitempty"`
 	// RandomFaults is the number of faults drawn in addition to Faults.
 	RandomFaults int `json:"random_faults,omitempty"`
 	// Seed seeds the generators of jobs, callers and faults.
@@ -38,6 +46,9 @@
 	Tasks                                                     int
 	// Violations describes the violated guarantees.
 	Violations []string
+	// RanOn is the longest time for which a task ran on after the cancellation of its job
+	// was acknowledged.
+	RanOn time.Duration
 	// Half and Most are the median and the 95th percentile of the time from a job's
 	// submission until a host reported it as ended.
 	Half, Most time.Duration
@@ -61,6 +72,7 @@
 	duration := time.Duration(p.Seconds) * time.Second
 	faults := append(slices.Clone(p.Faults), DrawFaults(random, p.RandomFaults, p.Hosts, p.Workers, duration)...)
 	sim := newSimulation(p.Hosts, p.Workers, logger)
+	sim.linkBytesPerSecond = p.LinkKBPerSecond * 1000
 	for _, h := range sim.hosts {
 		if err := h.start(); err != nil {
 			return Report{}, err
@@ -96,7 +108,7 @@
 	var callers []*caller
 	var done sync.WaitGroup
 	for number := range int(float64(p.Seconds) * p.JobsPerSecond) {
-		c := newCaller(sim, number+1, rand.New(rand.NewPCG(p.Seed, uint64(number+1))))
+		c := newCaller(sim, number+1, p, rand.New(rand.NewPCG(p.Seed, uint64(number+1))))
 		callers = append(callers, c)
 		done.Go(func() { c.run(ctx) })
 		time.Sleep(time.Duration(random.ExpFloat64() / p.JobsPerSecond * float64(time.Second)))
@@ -107,7 +119,7 @@
 
 // summarize aggregates the results of callers and workers into a report.
 func summarize(sim *simulation, callers []*caller) Report {
-	r := Report{Jobs: len(callers), Tasks: sim.cluster.Starts(), Violations: sim.cluster.Violations()}
+	r := Report{Jobs: len(callers), Tasks: sim.cluster.Starts(), Violations: sim.cluster.Violations(), RanOn: sim.cluster.RanOn(sim.now())}
 	if n := sim.cluster.OpenWaves(); n > 0 {
 		r.Violations = append(r.Violations, fmt.Sprintf("LATE: %d waves of upkeep are not over", n))
 	}
@@ -153,7 +165,7 @@
 		{"jobs", r.Jobs}, {"accepted", r.Accepted}, {"done", r.Done}, {"failed", r.Failed}, {"cancelled", r.Cancelled},
 		{"refused at least once", r.Refused}, {"left open at least once", r.Unknown}, {"tasks started", r.Tasks},
 		{"time until over, half", r.Half.Round(time.Millisecond)}, {"time until over, 19 of 20", r.Most.Round(time.Millisecond)},
-		{"faults", len(r.Faults)}, {"broken promises", len(r.Violations)},
+		{"longest run after a cancellation", r.RanOn.Round(time.Millisecond)}, {"faults", len(r.Faults)}, {"broken promises", len(r.Violations)},
 	}
 	for _, row := range rows {
 		fmt.Fprintf(t, "%s\t%v\n", row.name, row.value)
--- a/internal/experiment/day/link.go
+++ b/internal/experiment/day/link.go
@@ -14,6 +14,9 @@
 	networkDelay = time.Millisecond
 	// orderTimeout is how long a host waits for the answer to an order.
 	orderTimeout = 400 * time.Millisecond
+	// renewTimeout is how long a host waits for the answer to a renew order, in addition
+	// to the time that the worker may wait.
+	renewTimeout = 400 * time.Millisecond
 	// endPollInterval is the interval at which a worker checks for ended tasks during a
 	// long poll.
 	endPollInterval = 10 * time.Millisecond
--- a/internal/experiment/day/simulation.go
+++ b/internal/experiment/day/simulation.go
@@ -51,6 +51,9 @@
 	hosts     []*host
 	workers   []platform.WorkerID
 	config    *queue.Config
+	// linkBytesPerSecond is the bandwidth of each host's link to the workers in each
+	// direction, or zero for no limit.
+	linkBytesPerSecond float64
 	// waves is the number of upkeep waves declared so far.
 	waves atomic.Int64
 }
@@ -104,10 +107,14 @@
 // start starts the program on the host.
 func (h *host) start() error {
 	h.link = &link{sim: h.sim, host: h, killed: make(chan struct{})}
+	var workers fleet.Workers = h.link
+	if h.sim.linkBytesPerSecond > 0 {
+		workers = newNarrowLink(h.link, h.sim.linkBytesPerSecond)
+	}
 	n, err := node.Start(node.Config{
 		Host: platform.HostID(fmt.Sprintf("host-%d", h.index)), Peer: netip.AddrPortFrom(h.ip, peerPort),
 		Network: h.sim.network.Host(h.ip), Logger: h.sim.logger, Metrics: metrics.NewRegistry(),
-		Clock: h.sim.now, Bounds: bounds, Retention: retention, AppendBytes: memstore.MaxAppendBytes, Store: h.view, Workers: h.link,
+		Clock: h.sim.now, Bounds: bounds, Retention: retention, AppendBytes: memstore.MaxAppendBytes, Store: h.view, Workers: workers,
 		Machines: h.link, MachineLease: machineLease, Waves: func() fleet.Waves { return &waves{host: h} },
 		Registry:     func() fleet.Registry { return &registry{host: h} },
 		Declarations: &declarations{host: h},
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -115,7 +115,11 @@
 	fails       func(job.TaskRef, platform.Attempt) bool
 	maxFailures int
 	cancelledAt time.Duration
-	done        map[job.TaskRef]bool
+	// ranOn is the longest time for which a task has run on after cancelledAt.
+	ranOn time.Duration
+	// lastStart is when each task was last started.
+	lastStart map[job.TaskRef]time.Duration
+	done      map[job.TaskRef]bool
 	// acknowledged are the tasks whose successful end the scheduler has acknowledged.
 	acknowledged map[job.TaskRef]bool
 	failures     map[job.TaskRef]int
@@ -128,17 +132,19 @@
 	lost bool
 	// upkeepEnds is when the current upkeep of the machine ends, zero if there is
 	// none; machineToken is the highest fencing token of orders for the machine.
-	upkeepEnds    time.Duration
-	machineToken  platform.Epoch
-	info          fleet.Worker
-	bootedAt      time.Duration
-	bootCount     int64
-	up            bool
-	partitioned   bool
-	fencingToken  platform.Epoch
-	leaseEnd      platform.WorkerTime
-	running       map[job.TaskRef]*attempt
-	ended         []fleet.Ended
+	upkeepEnds   time.Duration
+	machineToken platform.Epoch
+	info         fleet.Worker
+	bootedAt     time.Duration
+	bootCount    int64
+	up           bool
+	partitioned  bool
+	fencingToken platform.Epoch
+	leaseEnd     platform.WorkerTime
+	running      map[job.TaskRef]*attempt
+	ended        []end
+	// lapsedAt is when the worker's lease last lapsed, or zero.
+	lapsedAt      time.Duration
 	lastEndNumber uint64
 	// fencedAttempts is the highest attempt of each task that was stopped or has
 	// ended; it and earlier ones are refused.
@@ -152,6 +158,12 @@
 	startCount       int
 }
 
+// end is the end of an attempt at a time.
+type end struct {
+	fleet.Ended
+	at time.Duration
+}
+
 // attempt is a running attempt of a task.
 type attempt struct {
 	number        platform.Attempt
@@ -189,7 +201,7 @@
 	w.bootedAt, w.up, w.partitioned = now, true, false
 	w.bootCount++
 	w.info.Started = w.bootCount
-	w.fencingToken, w.leaseEnd = 0, 0
+	w.fencingToken, w.leaseEnd, w.lapsedAt = 0, 0, 0
 	w.running = map[job.TaskRef]*attempt{}
 	w.fencedAttempts = map[job.TaskRef]platform.Attempt{}
 	w.ended, w.lastEndNumber = nil, 0
@@ -231,7 +243,7 @@
 	}
 	c.jobs[id] = &jobModel{
 		spec: s.Spec, duration: duration, fails: fails, maxFailures: s.MaxFailures,
-		done: map[job.TaskRef]bool{}, acknowledged: map[job.TaskRef]bool{}, failures: map[job.TaskRef]int{},
+		done: map[job.TaskRef]bool{}, lastStart: map[job.TaskRef]time.Duration{}, acknowledged: map[job.TaskRef]bool{}, failures: map[job.TaskRef]int{},
 	}
 }
 
--- a/internal/standin/cluster/run.go
+++ b/internal/standin/cluster/run.go
@@ -35,11 +35,11 @@
 		lapse := w.bootedAt + time.Duration(w.leaseEnd)
 		switch {
 		case w.leaseEnd > 0 && lapse <= now && lapse < end:
-			w.end(ref, a, fleet.EndLapsed, c.checkpointAt(lapse, w, ref, a))
+			c.end(now, w, ref, a, fleet.EndLapsed, c.checkpointAt(lapse, w, ref, a))
 		case a.stopAt > 0 && a.stopAt <= now && a.stopAt < end:
-			w.end(ref, a, fleet.EndStopped, c.checkpointAt(a.stopAt, w, ref, a))
+			c.end(now, w, ref, a, fleet.EndStopped, c.checkpointAt(a.stopAt, w, ref, a))
 		case end <= now:
-			c.finish(t, w, ref, a)
+			c.finish(now, t, w, ref, a)
 		}
 	}
 }
@@ -66,19 +66,19 @@
 		a.gangStarted, a.startedAt = true, lastStart
 		return true
 	case ended:
-		w.end(ref, a, fleet.EndDone, "")
+		c.end(now, w, ref, a, fleet.EndDone, "")
 	case a.gangStarted:
-		w.end(ref, a, fleet.EndGangMemberEnded, c.checkpointAt(now, w, ref, a))
+		c.end(now, w, ref, a, fleet.EndGangMemberEnded, c.checkpointAt(now, w, ref, a))
 	case now > a.startedAt+gangTimeout:
-		w.end(ref, a, fleet.EndGangIncomplete, "")
+		c.end(now, w, ref, a, fleet.EndGangIncomplete, "")
 	}
 	return false
 }
 
-func (c *Cluster) finish(t *jobModel, w *worker, ref job.TaskRef, a *attempt) {
+func (c *Cluster) finish(now time.Duration, t *jobModel, w *worker, ref job.TaskRef, a *attempt) {
 	if w.failing || t.fails(ref, a.number) {
 		t.failures[ref]++
-		w.end(ref, a, fleet.EndFailed, "")
+		c.end(now, w, ref, a, fleet.EndFailed, "")
 		return
 	}
 	t.done[ref] = true
@@ -87,7 +87,7 @@
 			t.done[job.TaskRef{Job: ref.Job, Occurrence: ref.Occurrence, Step: ref.Step, Index: i}] = true
 		}
 	}
-	w.end(ref, a, fleet.EndDone, "")
+	c.end(now, w, ref, a, fleet.EndDone, "")
 }
 
 // runningTasks returns the running tasks in a deterministic order.
@@ -101,11 +101,38 @@
 }
 
 // end ends an attempt, fences it, and lists its end until it is acknowledged.
-func (w *worker) end(ref job.TaskRef, a *attempt, kind fleet.EndKind, checkpoint string) {
+func (c *Cluster) end(now time.Duration, w *worker, ref job.TaskRef, a *attempt, kind fleet.EndKind, checkpoint string) {
+	c.jobs[ref.Job].noteRanOn(now)
 	delete(w.running, ref)
 	w.fencedAttempts[ref] = max(w.fencedAttempts[ref], a.number)
 	w.lastEndNumber++
-	w.ended = append(w.ended, fleet.Ended{Number: w.lastEndNumber, Task: ref, Attempt: a.number, Kind: kind, Checkpoint: checkpoint})
+	w.ended = append(w.ended, end{
+		Ended: fleet.Ended{Number: w.lastEndNumber, Task: ref, Attempt: a.number, Kind: kind, Checkpoint: checkpoint}, at: now,
+	})
+}
+
+// noteRanOn records that a task of the job was running until now.
+func (t *jobModel) noteRanOn(now time.Duration) {
+	if t.cancelledAt > 0 {
+		t.ranOn = max(t.ranOn, now-t.cancelledAt)
+	}
+}
+
+// RanOn returns the longest time for which a task has run on after the cancellation of
+// its job was acknowledged.
+func (c *Cluster) RanOn(now time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.workers {
+		for ref := range w.running {
+			c.jobs[ref.Job].noteRanOn(now)
+		}
+	}
+	longest := time.Duration(0)
+	for _, t := range c.jobs {
+		longest = max(longest, t.ranOn)
+	}
+	return longest
 }
 
 // step returns the step of a task, or nil if its job or step is unknown.
@@ -179,6 +206,7 @@
 		return fleet.RefusedInvalid
 	}
 	t.started = true
+	t.lastStart[o.Task] = now
 	remaining := t.duration(o.Task)
 	if o.Checkpoint != "" {
 		var nanos int64
@@ -197,6 +225,9 @@
 // extendLease extends the worker's lease up to end, but by no more than maxLease from
 // now. It never shortens the lease.
 func (w *worker) extendLease(now time.Duration, end platform.WorkerTime) {
+	if w.leaseEnd > 0 && w.leaseEnd < w.clock(now) {
+		w.lapsedAt = w.bootedAt + time.Duration(w.leaseEnd)
+	}
 	w.leaseEnd = max(w.leaseEnd, min(end, w.clock(now)+platform.WorkerTime(maxLease)))
 }
 
@@ -255,8 +286,11 @@
 	}
 	w.fencingToken = o.Token
 	w.extendLease(now, o.LeaseEnd)
-	c.acknowledge(w, o.Acknowledged)
-	reply := fleet.RenewReply{Verdict: fleet.Accepted, Clock: w.clock(now), Started: w.bootCount, Ended: append([]fleet.Ended(nil), w.ended...)}
+	c.acknowledge(now, w, o.Acknowledged)
+	reply := fleet.RenewReply{Verdict: fleet.Accepted, Clock: w.clock(now), Started: w.bootCount}
+	for _, e := range w.ended {
+		reply.Ended = append(reply.Ended, e.Ended)
+	}
 	for _, ref := range w.runningTasks() {
 		a := w.running[ref]
 		reply.Running = append(reply.Running, fleet.Running{
@@ -278,8 +312,10 @@
 	return int(100 * min(1, float64(now-a.startedAt)*w.speed/float64(max(1, a.remainingWork))))
 }
 
-// acknowledge drops the ended attempts numbered up to through.
-func (c *Cluster) acknowledge(w *worker, through uint64) {
+// acknowledge drops the ended attempts numbered up to through. It records a violation if
+// a task that was done has been started again, unless the lease under which it was done
+// has lapsed since.
+func (c *Cluster) acknowledge(now time.Duration, w *worker, through uint64) {
 	kept := w.ended[:0]
 	for _, e := range w.ended {
 		if e.Number > through {
@@ -288,6 +324,9 @@
 		}
 		if t := c.jobs[e.Task.Job]; t != nil && e.Kind == fleet.EndDone {
 			t.acknowledged[e.Task] = true
+			if !c.step(e.Task).Speculative && w.lapsedAt <= e.at && t.lastStart[e.Task] > e.at {
+				c.recordViolation(now, "TWICE", "%s, done at %v, was started again at %v", e.Task, e.at, t.lastStart[e.Task])
+			}
 		}
 	}
 	w.ended = kept
