A takeover misses no record and stops no known task

What callers saw: after a change of owners a cancelled job ran on, a new job never started, or running tasks were stopped and started again for no reason.

Cause: takeOver gave the table's jobs to the dispatcher before the node knew the dispatcher. The table reports a change only once, so a submission or cancellation that was applied in between reached nobody until the next takeover. Entries were also copied and passed on without a common lock: a copy could reach the dispatcher after a later change. And the workers were enrolled before the jobs were loaded: a worker that answered meanwhile listed tasks of jobs that the dispatcher did not have, which it stopped as unwanted; with 20,000 jobs in the table loading them takes longer than a renew call.

Fix: a page is applied and its changes are passed on under one lock, and the table is handed to the dispatcher and the dispatcher registered under the same lock, so each change is either in the handed table or passed on afterwards, in the order of application. Jobs are handed over before workers.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -93,6 +93,11 @@
 	leaving atomic.Bool
 	direct  directWriter
 
+	// applying is held while a page is applied to the table and its changes are passed to
+	// the dispatcher: the table reports a change only once, and the dispatcher must hear
+	// of changes in the order in which they were applied. It is acquired before mu.
+	applying sync.Mutex
+
 	mu             sync.Mutex
 	dispatcher     *dispatch.Dispatcher
 	stopOwnerLoops context.CancelFunc
@@ -232,6 +237,8 @@
 // applyPage applies a page of the log to the table and passes changed jobs to the
 // dispatcher if this host owns the shard.
 func (n *Node) applyPage(page store.Page) {
+	n.applying.Lock()
+	defer n.applying.Unlock()
 	entries, err := n.table.Apply(page, n.Clock())
 	if err != nil {
 		event.RecordUnreadable.Log(n.Logger, logrus.Fields{"error": err})
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -79,13 +79,8 @@
 			event.RecordUnreadable.Log(n.Logger, logrus.Fields{"error": err})
 		}
 	}
-	d.Enroll(n.table.Workers())
-	d.AddJobs(n.table.All())
-	d.Start()
 	ownerCtx, stop := context.WithCancel(n.ctx)
-	n.mu.Lock()
-	n.dispatcher, n.stopOwnerLoops = d, stop
-	n.mu.Unlock()
+	n.handTableTo(d, stop)
 	n.background.Go(func() { n.followWorkers(ownerCtx, d) })
 	n.startUpkeep(ownerCtx, d, previous)
 	n.count("shard.taken_over")
@@ -93,6 +88,20 @@
 	return nil
 }
 
+// handTableTo starts the dispatcher d with the jobs and workers in the table and makes it
+// the one that hears of changes. No change is applied meanwhile, so none is missed. The
+// jobs come first, since tasks of unknown jobs are stopped on workers that answer.
+func (n *Node) handTableTo(d *dispatch.Dispatcher, stop context.CancelFunc) {
+	n.applying.Lock()
+	defer n.applying.Unlock()
+	d.AddJobs(n.table.All())
+	d.Enroll(n.table.Workers())
+	d.Start()
+	n.mu.Lock()
+	n.dispatcher, n.stopOwnerLoops = d, stop
+	n.mu.Unlock()
+}
+
 // startUpkeep carries out maintenance waves in the background until ctx is done. After
 // a change of owner it gives no orders for MachineLease, since orders of the previous
 // owner may still be in flight.
--- /dev/null
+++ b/internal/process/node/takeover_test.go
@@ -0,0 +1,184 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"github.com/sirupsen/logrus"
+	"github.com/siskinvane/siskinvane/internal/platform/fleet"
+	"github.com/siskinvane/siskinvane/internal/platform/store"
+	"github.com/siskinvane/siskinvane/internal/process/keyed"
+	"github.com/siskinvane/siskinvane/internal/process/pause"
+	"github.com/siskinvane/siskinvane/internal/scheduler/job"
+	"github.com/siskinvane/siskinvane/internal/standin/memstore"
+)
+
+// takeoverFixture is a node without background loops, which takes over the shard only
+// when the test calls takeOver. At each reading of the clock meanwhile, another host's
+// records arrive: the submission of a new job and the cancellation of an old one.
+type takeoverFixture struct {
+	node *Node
+	// arrivals counts the readings at which records arrived; arriving is set during one,
+	// and open while records arrive at all.
+	arrivals       int
+	arriving, open atomic.Bool
+}
+
+// maxArrivals is the number of old jobs.
+const maxArrivals = 50
+
+// arrivalWait is how long a reading of the clock waits until its records are applied.
+const arrivalWait = 20 * time.Millisecond
+
+func oldJob(i int) job.ID { return job.ID(fmt.Sprintf("%016x", 0x1000+i)) }
+func newJob(i int) job.ID { return job.ID(fmt.Sprintf("%016x", 0x2000+i)) }
+
+func newTakeoverFixture(t *testing.T) *takeoverFixture {
+	t.Helper()
+	f := &takeoverFixture{}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	started := time.Now()
+	view := memstore.New().View("h1")
+	n := &Node{
+		Config: Config{
+			Host: "h1", Logger: logger, Metrics: metrics.NewRegistry(), Retention: time.Minute, AppendBytes: memstore.MaxAppendBytes,
+			Clock: func() time.Duration { f.arrive(t); return time.Since(started) },
+			Store: view, Registry: func() fleet.Registry { return noWorkers{} },
+		},
+		partition: store.Partition{Topic: JobTopic}, table: job.NewTable(), readToken: make(chan struct{}, 1),
+	}
+	n.storeHealth = &storeHealth{logger: logger, clock: n.Clock, failedSince: map[string]time.Duration{}}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.reader = keyed.NewReader(view, n.partition)
+	f.node = n
+	for i := range maxArrivals {
+		_, err := view.Append(n.ctx, n.partition, []store.Record{submissionRecord(t, oldJob(i))}, nil)
+		must.NoError(t, err)
+	}
+	must.NoError(t, n.Refresh(n.ctx))
+	return f
+}
+
+func submissionRecord(t *testing.T, id job.ID) store.Record {
+	t.Helper()
+	r, err := job.SubmissionRecord(id, submission())
+	must.NoError(t, err)
+	return r
+}
+
+// arrive lets another host's records arrive and waits until they are applied, or for
+// arrivalWait if the node holds them back.
+func (f *takeoverFixture) arrive(t *testing.T) {
+	if !f.open.Load() || !f.arriving.CompareAndSwap(false, true) {
+		return
+	}
+	i := f.arrivals
+	if i == maxArrivals {
+		f.arriving.Store(false)
+		return
+	}
+	f.arrivals++
+	records := []store.Record{submissionRecord(t, newJob(i)), job.CancellationRecord(oldJob(i))}
+	applied := make(chan struct{})
+	go func() {
+		defer close(applied)
+		defer f.arriving.Store(false)
+		f.node.applyRecords(records)
+	}()
+	select {
+	case <-applied:
+	case <-time.After(arrivalWait):
+	}
+}
+
+// TestTakeoverMissesNoRecord guards against a cancellation or a submission that is
+// applied while the host takes over and that its dispatcher never hears of.
+func TestTakeoverMissesNoRecord(t *testing.T) {
+	f := newTakeoverFixture(t)
+	f.open.Store(true)
+	must.NoError(t, f.node.takeOver(1))
+	f.open.Store(false)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return !f.arriving.Load() })))
+	must.Positive(t, f.arrivals)
+	d := f.node.ownedDispatcher()
+	for i := range f.arrivals {
+		_, held := d.State(newJob(i))
+		must.True(t, held, must.Sprintf("the dispatcher holds the job submitted at reading %d", i))
+		must.Wait(t, wait.InitialSuccess(wait.Timeout(2*time.Second), wait.BoolFunc(func() bool {
+			e, _ := f.node.table.Get(oldJob(i))
+			return e.Progress.State == job.Cancelled
+		})), must.Sprintf("the dispatcher ends the job cancelled at reading %d", i))
+	}
+	f.node.cancel()
+	d.Abort()
+	f.node.background.Wait()
+}
+
+// answeringWorkers is one worker that runs the task of a job and answers at once. It
+// implements fleet.Workers.
+type answeringWorkers struct {
+	runs  job.TaskRef
+	stops atomic.Int32
+}
+
+// Start implements fleet.Workers.
+func (*answeringWorkers) Start(context.Context, fleet.Worker, fleet.StartOrder) (fleet.Answer, error) {
+	return fleet.Answer{Verdict: fleet.RefusedCapacity}, nil
+}
+
+// Stop implements fleet.Workers.
+func (w *answeringWorkers) Stop(context.Context, fleet.Worker, fleet.StopOrder) (fleet.Answer, error) {
+	w.stops.Add(1)
+	return fleet.Answer{Verdict: fleet.Accepted}, nil
+}
+
+// Throttle implements fleet.Workers.
+func (*answeringWorkers) Throttle(context.Context, fleet.Worker, fleet.ThrottleOrder) (fleet.Answer, error) {
+	return fleet.Answer{Verdict: fleet.Accepted}, nil
+}
+
+// Renew implements fleet.Workers.
+func (w *answeringWorkers) Renew(ctx context.Context, _ fleet.Worker, o fleet.RenewOrder) (fleet.RenewReply, error) {
+	if o.Wait > 0 {
+		_ = pause.For(ctx, time.Millisecond)
+	}
+	return fleet.RenewReply{
+		Verdict: fleet.Accepted, Clock: 1, Started: 1, Running: []fleet.Running{{Task: w.runs, Attempt: 1}},
+	}, nil
+}
+
+// TestTakeoverStopsNoKnownTask guards against a new owner that hears of running tasks
+// before it has loaded their jobs, and stops them all as unwanted.
+func TestTakeoverStopsNoKnownTask(t *testing.T) {
+	const jobs = 20_000
+	f := newTakeoverFixture(t)
+	n := f.node
+	workers := &answeringWorkers{runs: job.TaskRef{Job: oldJob(0)}}
+	n.Workers = workers
+	enrollment, err := job.EnrollmentRecord(job.Enrollment{Worker: "w0", Addr: "127.1.0.1:80", Service: "s", Claim: 1, Run: 1})
+	must.NoError(t, err)
+	records := []store.Record{enrollment}
+	for i := range jobs {
+		records = append(records, submissionRecord(t, newJob(i)))
+	}
+	n.applyRecords(records)
+	must.NoError(t, n.takeOver(1))
+	d := n.ownedDispatcher()
+	must.Wait(t, wait.InitialSuccess(wait.Timeout(2*time.Second), wait.BoolFunc(func() bool {
+		longRunning, finite := d.WorkerLoad("w0")
+		return longRunning+finite == 1
+	})), must.Sprint("the task is adopted"))
+	time.Sleep(50 * time.Millisecond)
+	must.Zero(t, workers.stops.Load())
+	n.cancel()
+	d.Abort()
+	n.background.Wait()
+}
