A job that becomes known late keeps its running tasks

What callers saw: a task ran twice after a change of owners.

Cause: the former owner is told of new jobs until it learns of the takeover, and may start their tasks. If the new owner's renew call listed such a task before the new owner had read the job, the attempt was adopted as an orphan and ordered to stop. When the job was read, its tasks were queued without a look at the orphans, and started elsewhere while the orphan was still running.

Fix: AddJob links the orphans of the new job to its tasks. They count as live attempts then, so the task starts again only once they have ended.

Evidence: TestLateKnownJobIsNotStartedTwice failed before with one TWICE violation.

--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -121,6 +121,7 @@
 	} else {
 		s.addOccurrence(now, j)
 	}
+	s.claimOrphans(now, j)
 	if e.Cancelled {
 		s.CancelJob(now, e.ID)
 	}
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -188,12 +188,9 @@
 // adoptAttempt tracks a running attempt that was not tracked, and stops it if it should
 // not run.
 func (s *Shard) adoptAttempt(now Instant, w *workerState, t *task, r fleet.Running) *attempt {
-	a := &attempt{task: t, ref: r.Task, worker: w, number: r.Attempt, phase: running, confirmedAt: now, startedAt: now, cpuPercent: 100, appliedPercent: unknownPercent, adopted: true}
+	a := &attempt{ref: r.Task, worker: w, number: r.Attempt, phase: running, confirmedAt: now, startedAt: now, cpuPercent: 100, appliedPercent: unknownPercent, adopted: true}
 	if t != nil {
-		t.seenRunning = true
-		a.size, a.image = t.step.spec.Reserved(), s.headroom.Image(t.step.spec.Image)
-		s.markStarted(t.step.job)
-		s.dequeue(t)
+		a.linkTo(t, s)
 	}
 	s.trackAttempt(now, a)
 	unwanted := t == nil || t.done || t.step.job.ended() || len(t.liveAttempts) > 1 && !t.step.spec.Speculative
@@ -203,6 +200,42 @@
 	return a
 }
 
+// claimOrphans links the orphans of a job that has become known to its tasks, which may
+// not start elsewhere before they have ended. Their stop orders may be under way, so they
+// stay on their way to stop.
+func (s *Shard) claimOrphans(now Instant, j *jobState) {
+	var claimed []*attempt
+	for _, w := range s.workers {
+		if w.orphans == 0 {
+			continue
+		}
+		for _, a := range w.attempts {
+			if a.task == nil && a.ref.Job == j.id {
+				claimed = append(claimed, a)
+			}
+		}
+	}
+	for _, a := range claimed {
+		t := s.findTask(now, a.ref)
+		if t == nil {
+			continue
+		}
+		s.untrackAttempt(now, a)
+		a.linkTo(t, s)
+		s.trackAttempt(now, a)
+	}
+}
+
+// linkTo sets the task of an attempt that an earlier owner started. The attempt must not
+// be tracked.
+func (a *attempt) linkTo(t *task, s *Shard) {
+	a.task = t
+	t.seenRunning = true
+	a.size, a.image = t.step.spec.Reserved(), s.headroom.Image(t.step.spec.Image)
+	s.markStarted(t.step.job)
+	s.dequeue(t)
+}
+
 // dequeue removes a task from those that wait for a worker.
 func (s *Shard) dequeue(t *task) {
 	if !t.queued {
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -164,3 +164,21 @@
 	_, order, _ = h.shard.RenewOrder(h.now, "w03")
 	must.Positive(t, order.LeaseEnd)
 }
+
+// TestLateKnownJobIsNotStartedTwice: an earlier owner started a task of a job that the
+// new owner read only after the worker had listed the task, and started again elsewhere.
+func TestLateKnownJobIsNotStartedTwice(t *testing.T) {
+	h := newHarness(t, 6)
+	h.run(500 * time.Millisecond)
+	id := h.submit(firstID, fixedLength(100), nil, longRunningStep())
+	h.run(400 * time.Millisecond)
+	must.Eq(t, 1, h.cluster.Running(id))
+	late := *h.entries[id]
+	delete(h.entries, id)
+	h.takeOver(false)
+	h.tick()
+	h.shard.AddJob(h.now, late)
+	h.run(4 * time.Second)
+	h.checkViolations()
+	must.Eq(t, 1, h.cluster.Running(id))
+}
