--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -182,3 +182,22 @@
 	h.checkViolations()
 	must.Eq(t, 1, h.cluster.Running(id))
 }
+
+// TestQuorumCountsUnreachedWorkers: an owner that has reached only two of six workers
+// took these two for a quorum, and continued without the store beside a later owner.
+func TestQuorumCountsUnreachedWorkers(t *testing.T) {
+	h := newHarness(t, 6)
+	h.run(500 * time.Millisecond)
+	unreached := []platform.WorkerID{"w02", "w03", "w04", "w05"}
+	for _, id := range unreached {
+		h.cluster.SetPartitioned(id, true)
+	}
+	h.takeOver(false)
+	h.run(time.Second)
+	must.False(t, h.shard.HasQuorum(h.now))
+	for _, id := range unreached[:2] {
+		h.cluster.SetPartitioned(id, false)
+	}
+	h.run(time.Second)
+	must.True(t, h.shard.HasQuorum(h.now))
+}
