A stopped attempt that runs on is ordered to stop again

What callers saw: a task may run on after its job was cancelled.

Cause: once a worker has accepted a stop order, the attempt is in phase stopped and is never ordered to stop again. If the worker restarts then and an unanswered start order reaches its new run late, the new run knows nothing of the stop and accepts the start. It lists the attempt, the owner takes that for the end to come, and renews its lease.

Fix: an attempt that is still listed after the stop grace period, counted from the answer to the stop order to the request for the lists, is ordered to stop again.

Evidence: TestStopIsRepeatedAfterRestart failed before: the task still ran.

--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -132,6 +132,7 @@
 	for _, r := range list {
 		listed[r.Task] = r.Attempt
 		s.observeRunning(now, w, r)
+		s.repeatOverdueStop(now, sent, w.attempts[r.Task])
 	}
 	for ref, a := range w.attempts {
 		if n, ok := listed[ref]; ok && n == a.number {
@@ -144,6 +145,22 @@
 	}
 }
 
+// stopOverdueMargin is added to the stop grace period before a stop counts as overdue. It
+// covers a worker's clock that is 2% slow and a worker that is busy.
+const stopOverdueMargin = 200 * time.Millisecond
+
+// repeatOverdueStop orders a listed attempt to stop again if its worker accepted a stop
+// order so long before the lists were requested that the attempt should have ended. A
+// worker that has restarted since knows nothing of the order, and a start order may have
+// reached it late.
+func (s *Shard) repeatOverdueStop(now, sent Instant, a *attempt) {
+	if a == nil || a.phase != stopped || sent < a.confirmedAt+s.bounds.StopGrace+stopOverdueMargin {
+		return
+	}
+	a.phase, a.orderedAt = stopping, now
+	s.issueStop(a.worker, a.ref, a.number)
+}
+
 // observeRunning applies one listed running attempt. An untracked attempt was started
 // by an earlier owner or by an order that was carried out late.
 func (s *Shard) observeRunning(now Instant, w *workerState, r fleet.Running) {
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -99,3 +99,27 @@
 	_, after, _ := h.shard.RenewOrder(h.now, "w00")
 	must.Zero(t, after.Acknowledged)
 }
+
+// TestStopIsRepeatedAfterRestart: a start order reached a worker's new run late, after the
+// old run had accepted the order to stop the attempt. The attempt was listed as running,
+// but never ordered to stop again, and ran on after its job was cancelled.
+func TestStopIsRepeatedAfterRestart(t *testing.T) {
+	h := newHarness(t, 1)
+	h.run(500 * time.Millisecond)
+	id := h.submit(firstID, fixedLength(100), nil, batchStep(1))
+	starts := h.shard.Plan(h.now, h.now.Milliseconds()).Starts
+	must.Len(t, 1, starts)
+	h.shard.StartAnswered(h.now, starts[0], fleet.Answer{}, platform.ErrOutcomeUnknown)
+	must.Len(t, 1, h.shard.Plan(h.now, h.now.Milliseconds()).Starts)
+	h.shard.StartAnswered(h.now, starts[0], fleet.Answer{}, platform.ErrOutcomeUnknown)
+	h.shard.CancelJob(h.now, id)
+	h.plan()
+	h.cluster.Crash("w00")
+	h.cluster.Boot(h.now, "w00")
+	h.now += 100 * time.Millisecond
+	answer, _ := h.cluster.Start(h.now, "w00", starts[0].Order)
+	must.Eq(t, fleet.Accepted, answer.Verdict)
+	must.Eq(t, 1, h.cluster.Running(id))
+	h.run(2*bounds.StopGrace + 500*time.Millisecond)
+	must.Zero(t, h.cluster.Running(id))
+}
