A job that was read late may run at an earlier owner's order

What callers saw: a task may run twice after a change of owners.

Cause: the former owner may start tasks of jobs that are accepted within ownerOverlap of the takeover, so the new owner starts such jobs only once every worker's attempts are known. It went by the time at which it learned of the job. A new owner that could not read the log for a while, because the store or its own link was slow, learned of such a job later, took it for a new one and started it beside an attempt on a worker that it had not reached.

Fix: the job counts as written right after the last read of the log that reached its end, the earliest time possible.

Evidence: TestJobReadLateMayRunElsewhere failed before: the task was started.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -188,8 +188,10 @@
 // AddJobs adds jobs from the log and cancels those that are marked as cancelled.
 func (d *Dispatcher) AddJobs(entries []job.Entry) {
 	d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) {
+		// The last read that reached the end of the log would have returned older jobs.
+		since := now - d.ConfirmationAge()
 		for _, e := range entries {
-			s.AddJob(now, e)
+			s.AddReadJob(now, since, e)
 			if e.Cancelled {
 				s.CancelJob(now, e.ID)
 			}
--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -36,7 +36,11 @@
 }
 
 // addStartableTask adds a worker and a task that fits it to the dispatcher's shard.
-func addStartableTask(d *Dispatcher) {
+func addStartableTask(d *Dispatcher) { d.shard.AddJob(d.Clock(), addStartableWorker(d)) }
+
+// addStartableWorker adds a worker to the dispatcher's shard and returns a job whose only
+// task fits it.
+func addStartableWorker(d *Dispatcher) job.Entry {
 	const service platform.ServiceName = "s"
 	size := platform.Resources{MilliCPU: 4000, MemoryMB: 4000}
 	q := &queue.Queue{Name: "q", Service: service, MaxFailures: 1, Stretch: 2, Target: time.Second}
@@ -45,10 +49,10 @@
 	d.shard.SetWorker(now, fleet.Worker{ID: "w", Service: service, Capacity: size, Addr: netip.MustParseAddrPort("127.0.0.9:80")})
 	d.shard.RenewAnswered(now, now, "w", fleet.RenewReply{Verdict: fleet.Accepted, Clock: platform.WorkerTime(time.Second), Started: 1})
 	d.shard.MarkRecorded(d.shard.TakeUnrecorded(0))
-	d.shard.AddJob(now, job.Entry{ID: "00000000000000a1", Submission: &job.Submission{
+	return job.Entry{ID: "00000000000000a1", Submission: &job.Submission{
 		Queue: q.Name, Service: service, MaxFailures: 1, Stretch: 2, TargetMS: 1000,
 		Spec: job.Spec{Steps: []job.Step{{Tasks: 1, Size: size, EstimateMS: 100}}},
-	}})
+	}}
 }
 
 // TestNoPlanWithoutAuthority guards against a busy loop: an owner without contact to the
@@ -73,3 +77,29 @@
 	d.goroutines.Wait()
 	must.SliceEmpty(t, logged.AllEntries())
 }
+
+// TestJobReadLateMayRunElsewhere guards against a task that runs twice because the new
+// owner could not read the log for a while after its takeover: it took a job that it read
+// then for a new one, which the earlier owner could not have started.
+func TestJobReadLateMayRunElsewhere(t *testing.T) {
+	starts := func(confirmationAge time.Duration) int {
+		now := time.Minute
+		d, err := New(Config{
+			Ownership: job.Ownership{Epoch: 2, Claim: 2}, Bounds: scheduler.Bounds{MaxLease: 10 * time.Second},
+			Predecessors:    []scheduler.Predecessor{{Claim: 1, ReplacedAt: now}},
+			Clock:           func() time.Duration { return now },
+			ConfirmationAge: func() time.Duration { return confirmationAge },
+		})
+		must.NoError(t, err)
+		defer d.Abort()
+		unreached := job.Enrollment{Worker: "unreached", Addr: "127.0.0.8:80", Service: "s", Claim: 1, Run: 1}
+		must.NoError(t, d.shard.Enroll(unreached))
+		d.shard.ClaimRecorded(now)
+		now += 2 * time.Second
+		entry := addStartableWorker(d)
+		d.AddJobs([]job.Entry{entry})
+		return len(d.shard.Plan(now, 0).Starts)
+	}
+	must.Eq(t, 1, starts(100*time.Millisecond), must.Sprint("the log was read until shortly before"))
+	must.Zero(t, starts(1900*time.Millisecond), must.Sprint("the log was not read since the takeover"))
+}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -98,11 +98,14 @@
 // the latest.
 const ownerOverlap = 1500 * time.Millisecond
 
-// AddJob adds a job from the log, unless it is known or has ended. Jobs that were
-// accepted before the takeover or shortly after it may have attempts that this owner
-// has no record of.
-func (s *Shard) AddJob(now Instant, e job.Entry) {
-	beforeTakeover := now < s.takenOverAt+ownerOverlap
+// AddJob adds a job that has just been written to the log; see AddReadJob.
+func (s *Shard) AddJob(now Instant, e job.Entry) { s.AddReadJob(now, now, e) }
+
+// AddReadJob adds a job from the log, unless it is known or has ended. The job was
+// written to the log at the time since or later. Jobs that were accepted before the
+// takeover or shortly after it may have attempts that this owner has no record of.
+func (s *Shard) AddReadJob(now, since Instant, e job.Entry) {
+	beforeTakeover := since < s.takenOverAt+ownerOverlap
 	if _, known := s.jobs[e.ID]; known || e.Submission == nil || e.Progress.State.Final() {
 		return
 	}
