--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -142,8 +142,9 @@
 // HasQuorum reports whether two thirds of the workers that this or an earlier owner has
 // enrolled have answered this owner within AuthorityWindow. Workers that only earlier
 // owners have reached count as well: a later owner's quorum is two thirds of all, and
-// might have none in common with two thirds of those that answer here. A new run of a worker counts only once it is recorded: it has
-// forgotten the token of a later owner, who would have recorded the run as well.
+// might have none in common with two thirds of those that answer here. A new run of a
+// worker counts only once it is recorded: it has forgotten the token of a later owner,
+// who would have recorded the run as well.
 func (s *Shard) HasQuorum(now Instant) bool {
 	total, answered := 0, 0
 	for _, w := range s.workers {
