Start no more tasks than the owner's link carries

Callers saw tasks of cancelled jobs run on for 10 s, and with 350 to 490 workers nearly nothing was served once a host with a 10 Mbit/s link owned the shard.

Cause: all orders of a plan went into one pool of 256, and the plan loop blocked on it. 256 starts of 2.5 kB take such a link 0.5 s, longer than the 0.4 s that an order waits, so most were repeated, without end. Starts waited for seconds and went out although they were no longer wanted, with most of their lease over. Stops waited behind them and were repeated while the one before was still in flight.

BeginStart checks a start again when it is sent and gives it its lease; what was never sent is dropped without a stop. Stops and throttles have lanes of their own, the plan loop never blocks, and a stop is repeated only once the one before is settled. A plan that was cut short keeps the workers that some steps were not tried on.

The event 7102 (order dropped) goes with the pool. Metrics: starts_window, starts_in_flight, starts_queued, starts_withdrawn, stops_queued, stops_in_flight, throttles_queued.

--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// reportOrders updates the gauges of the orders in flight.
+func (d *Dispatcher) reportOrders() {
+	d.mu.Lock()
+	window, starts := int64(d.starts.size), int64(d.starts.inFlight)
+	d.mu.Unlock()
+	d.gauge("starts.window").Update(window)
+	d.gauge("starts.in_flight").Update(starts)
+	d.gauge("stops.in_flight").Update(int64(d.stops.load()))
+}
+
+func (d *Dispatcher) gauge(name string) metrics.Gauge {
+	return metrics.GetOrRegisterGauge(name, d.Metrics)
+}
+
 func (d *Dispatcher) timer(name string) metrics.Timer {
 	return metrics.GetOrRegisterTimer(name, d.Metrics)
 }
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/panjf2000/ants/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/siskinvane/siskinvane/internal/platform"
@@ -54,8 +53,10 @@
 	Config
 	ctx        context.Context
 	cancel     context.CancelFunc
-	pool       *ants.Pool
 	goroutines sync.WaitGroup
+	// stops and throttles are the lanes of these orders. Start orders are bounded by
+	// starts.
+	stops, throttles *lane
 	// planRequested triggers a plan, recordRequested an append to the log.
 	planRequested   chan struct{}
 	recordRequested chan struct{}
@@ -73,6 +74,8 @@
 
 	mu    sync.Mutex
 	shard *scheduler.Shard
+	// starts is the congestion window of start orders.
+	starts startWindow
 	// recorded is closed and replaced each time progress has been recorded.
 	recorded chan struct{}
 	// renewing holds the workers for which a renewLoop runs.
@@ -83,26 +86,29 @@
 	err error
 }
 
-// maxConcurrentOrders bounds the orders and requests in flight.
-const maxConcurrentOrders = 256
+const (
+	// maxConcurrentStops and maxConcurrentThrottles bound the orders of these kinds in
+	// flight.
+	maxConcurrentStops     = 128
+	maxConcurrentThrottles = 32
+)
 
 // ErrFenced means that another host owns the shard.
 var ErrFenced = errors.New("another host owns the shard")
 
 // New returns a dispatcher for one ownership of a shard. It does nothing before Start.
-func New(c Config) (*Dispatcher, error) {
-	pool, err := ants.NewPool(maxConcurrentOrders)
-	if err != nil {
-		return nil, err
-	}
+func New(c Config) *Dispatcher {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Dispatcher{
-		Config: c, ctx: ctx, cancel: cancel, pool: pool,
+	d := &Dispatcher{
+		Config: c, ctx: ctx, cancel: cancel, starts: newStartWindow(),
 		planRequested: make(chan struct{}, 1), recordRequested: make(chan struct{}, 1),
 		stopRequested: make(chan struct{}), finalRecordDone: make(chan struct{}),
 		shard:         scheduler.New(c.Bounds, c.Ownership, c.Clock(), c.Predecessors),
 		waitingGauges: map[int]metrics.Gauge{}, renewing: map[platform.WorkerID]bool{}, recorded: make(chan struct{}),
-	}, nil
+	}
+	d.stops = &lane{goroutines: &d.goroutines, limit: maxConcurrentStops}
+	d.throttles = &lane{goroutines: &d.goroutines, limit: maxConcurrentThrottles}
+	return d
 }
 
 // Start runs the shard until Stop or Abort, or until another host owns it.
@@ -126,13 +132,7 @@
 }
 
 // Abort ends all work on the shard immediately.
-func (d *Dispatcher) Abort() {
-	d.cancel()
-	go func() {
-		d.goroutines.Wait()
-		d.pool.Release()
-	}()
-}
+func (d *Dispatcher) Abort() { d.cancel() }
 
 // finalRecordTimeout bounds the final record: two appends to a slow store.
 const finalRecordTimeout = time.Second
@@ -318,6 +318,7 @@
 		case <-d.planRequested:
 		case <-ticker.C:
 			d.reportWaiting()
+			d.reportOrders()
 		}
 		d.plan()
 	}
@@ -331,44 +332,60 @@
 		return
 	}
 	d.mu.Lock()
-	actions := d.shard.Plan(d.Clock(), time.Now().UnixMilli())
+	now := d.Clock()
+	actions := d.shard.Plan(now, time.Now().UnixMilli(), d.starts.available(now))
+	orders := make([]*windowOrder, len(actions.Starts))
+	for i, start := range actions.Starts {
+		orders[i] = d.starts.add(now, start.Worker.ID)
+	}
 	d.mu.Unlock()
-	d.sendOrders(actions)
+	d.sendOrders(now, actions, orders)
 	d.reportActivity()
 }
 
-// sendOrders sends the orders of a plan without waiting for the answers.
-func (d *Dispatcher) sendOrders(a scheduler.Actions) {
-	for _, start := range a.Starts {
-		d.submit(func() { d.sendStart(start) })
-	}
+// sendOrders sends the orders of a plan made at planned. It waits neither for answers
+// nor for orders that cannot be sent yet: starts are bounded by the plan, advice
+// requests by the shard. orders are the starts' places in the window.
+func (d *Dispatcher) sendOrders(planned scheduler.Instant, a scheduler.Actions, orders []*windowOrder) {
 	for _, stop := range a.Stops {
-		d.submit(func() { d.sendStop(stop) })
+		d.stops.submit(func() { d.sendStop(planned, stop) })
+	}
+	for i, start := range a.Starts {
+		d.goroutines.Go(func() { d.sendStart(start, orders[i]) })
 	}
 	for _, pace := range a.Throttles {
-		d.submit(func() { d.sendPace(pace) })
+		d.throttles.submit(func() { d.sendPace(planned, pace) })
 	}
 	for _, ask := range a.AdviceRequests {
-		d.submit(func() { d.requestAdvice(ask) })
+		d.goroutines.Go(func() { d.requestAdvice(ask) })
 	}
 }
 
-// submit runs f on the pool.
-func (d *Dispatcher) submit(f func()) {
-	d.goroutines.Add(1)
-	err := d.pool.Submit(func() {
-		defer d.goroutines.Done()
-		f()
-	})
-	if err != nil {
-		d.goroutines.Done()
-		event.OrderDropped.Log(d.Logger, logrus.Fields{"error": err})
+// beginStart returns the order to send for a start action now. It reports false if the
+// order must not be sent.
+func (d *Dispatcher) beginStart(a scheduler.StartAction, o *windowOrder) (sent scheduler.Instant, current scheduler.StartAction, wanted bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sent = d.Clock()
+	current, wanted = d.shard.BeginStart(sent, a)
+	if !wanted {
+		d.starts.withdraw(o)
 	}
+	return sent, current, wanted
 }
 
-func (d *Dispatcher) sendStart(a scheduler.StartAction) {
+func (d *Dispatcher) sendStart(a scheduler.StartAction, o *windowOrder) {
+	mayAct := d.MayAct()
+	sent, current, wanted := d.beginStart(a, o)
+	if !wanted {
+		d.counter("starts.withdrawn").Inc(1)
+		signal(d.planRequested)
+		return
+	}
+	d.timer("starts.queued").Update(sent - o.addedAt)
+	a = current
 	answer, err := fleet.Answer{}, ErrFenced
-	if d.MayAct() {
+	if mayAct {
 		answer, err = d.Workers.Start(d.ctx, a.Worker, a.Order)
 	}
 	if answer.Verdict == fleet.RefusedFenced {
@@ -380,16 +397,25 @@
 		event.StartNotAccepted.Log(d.Logger, logrus.Fields{
 			"task": a.Order.Task.String(), "attempt": a.Order.Attempt, "worker": a.Worker.ID,
 			"verdict": answer.Verdict.String(), "error": err,
+			"queued_ms": (sent - o.addedAt).Milliseconds(), "answer_ms": (d.Clock() - sent).Milliseconds(),
 		})
 	}
-	d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) { s.StartAnswered(now, a, answer, err) })
+	d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) {
+		if mayAct {
+			d.starts.finish(now, o, now-sent, err == nil)
+		} else {
+			d.starts.withdraw(o)
+		}
+		s.StartAnswered(now, a, answer, err)
+	})
 }
 
-func (d *Dispatcher) sendStop(a scheduler.StopAction) {
-	if !d.MayAct() {
-		return
+func (d *Dispatcher) sendStop(planned scheduler.Instant, a scheduler.StopAction) {
+	answer, err := fleet.Answer{}, ErrFenced
+	if d.MayAct() {
+		d.timer("stops.queued").Update(d.Clock() - planned)
+		answer, err = d.Workers.Stop(d.ctx, a.Worker, a.Order)
 	}
-	answer, err := d.Workers.Stop(d.ctx, a.Worker, a.Order)
 	if answer.Verdict == fleet.RefusedFenced {
 		d.Relinquish(ErrFenced)
 		return
@@ -397,9 +423,10 @@
 	d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) { s.StopAnswered(now, a, answer, err) })
 }
 
-func (d *Dispatcher) sendPace(a scheduler.ThrottleAction) {
+func (d *Dispatcher) sendPace(planned scheduler.Instant, a scheduler.ThrottleAction) {
 	answer, err := fleet.Answer{}, ErrFenced
 	if d.MayAct() {
+		d.timer("throttles.queued").Update(d.Clock() - planned)
 		answer, err = d.Workers.Throttle(d.ctx, a.Worker, a.Order)
 	}
 	if answer.Verdict == fleet.RefusedFenced {
--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -21,12 +21,11 @@
 // that a stopping owner may not act.
 func TestMayAct(t *testing.T) {
 	age := time.Duration(0)
-	d, err := New(Config{
+	d := New(Config{
 		Ownership:       job.Ownership{Epoch: 1, Claim: 1},
 		Clock:           func() time.Duration { return time.Minute },
 		ConfirmationAge: func() time.Duration { return age },
 	})
-	must.NoError(t, err)
 	must.True(t, d.MayAct())
 	age = scheduler.AuthorityWindow
 	must.False(t, d.MayAct())
@@ -60,13 +59,12 @@
 	logger.SetOutput(io.Discard)
 	logger.SetLevel(logrus.TraceLevel)
 	age := scheduler.AuthorityBound
-	d, err := New(Config{
+	d := New(Config{
 		Ownership: job.Ownership{Epoch: 1, Claim: 1}, Logger: logger,
 		Bounds:          scheduler.Bounds{MaxLease: 10 * time.Second},
 		Clock:           func() time.Duration { return time.Minute },
 		ConfirmationAge: func() time.Duration { return age },
 	})
-	must.NoError(t, err)
 	defer d.Abort()
 	addStartableTask(d)
 	d.plan()
--- a/internal/process/dispatch/write_test.go
+++ b/internal/process/dispatch/write_test.go
@@ -53,7 +53,7 @@
 		logger := logrus.New()
 		logger.SetOutput(io.Discard)
 		started := time.Now()
-		d, err := New(Config{
+		d := New(Config{
 			Store: s, Ownership: job.Ownership{Epoch: 1, Claim: 1}, Logger: logger, Metrics: metrics.NewRegistry(),
 			AppendBytes: 1 << 20, Bounds: scheduler.Bounds{MaxLease: 10 * time.Second},
 			Clock:           func() time.Duration { return time.Since(started) },
@@ -61,7 +61,6 @@
 			OnRecorded:      func([]store.Record) {},
 			ExpiredJobs:     func(int) []job.ID { return nil },
 		})
-		must.NoError(t, err)
 		d.Start()
 		f(d)
 		d.Abort()
--- a/internal/process/event/job.go
+++ b/internal/process/event/job.go
@@ -21,7 +21,6 @@
 	AttemptLost    = declare(7116, logrus.InfoLevel, "attempt given up")
 
 	StartNotAccepted = declare(7101, logrus.InfoLevel, "start not accepted")
-	OrderDropped     = declare(7102, logrus.ErrorLevel, "order dropped")
 	AdviceFailed     = declare(7104, logrus.WarnLevel, "advice not given")
 	PaceFailed       = declare(7103, logrus.WarnLevel, "pace not accepted")
 
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -59,7 +59,7 @@
 	}
 	previous := n.table.Owner()
 	own := job.Ownership{Host: n.Host, Addr: n.Peer.String(), Epoch: epoch, Claim: previous.Claim + 1}
-	d, err := dispatch.New(dispatch.Config{
+	d := dispatch.New(dispatch.Config{
 		Store: n.Store, Partition: n.partition, Workers: n.Workers, Advisor: n.Advisor, Clock: n.Clock, Logger: n.Logger, Metrics: n.Metrics,
 		Bounds: n.bounds(), Ownership: own, Predecessors: n.predecessors(), AppendBytes: n.AppendBytes,
 		OnRecorded: n.applyRecords,
@@ -68,9 +68,6 @@
 		},
 		ConfirmationAge: n.SinceCaughtUp,
 	})
-	if err != nil {
-		return err
-	}
 	if c := n.Queues(); c != nil {
 		d.SetConfig(c)
 	}
--- a/internal/scheduler/dirty.go
+++ b/internal/scheduler/dirty.go
@@ -10,8 +10,18 @@
 // answer of a worker, and an answer changes one worker only: for an owner of many
 // workers, planning over all of them would cost more than everything else.
 type dirtySet struct {
-	// workers are the workers that have changed since the last plan, each once.
+	// workers are the workers that have changed, in the order of their changes, as far as
+	// some waiting step was not tried on them since. A worker that changes again after a
+	// plan is listed again.
 	workers []*workerState
+	// base is the number of workers[0] in the sequence of all changes.
+	base int
+	// planned counts the elements of workers that an earlier plan has considered, and
+	// end those that the present plan considers.
+	planned, end int
+	// placeAll is set if the last plan that considered every worker had no start orders
+	// left to try the waiting steps.
+	placeAll bool
 	// all is set if a change concerns every worker.
 	all bool
 	// lastSweep is when the last plan considered every worker, or zero.
@@ -27,6 +37,7 @@
 
 // beginPlan reports whether the plan at now has to consider every worker.
 func (d *dirtySet) beginPlan(now Instant) bool {
+	d.end = len(d.workers)
 	if !d.all && d.lastSweep != 0 && now < d.lastSweep+sweepPeriod {
 		return false
 	}
@@ -34,15 +45,33 @@
 	return true
 }
 
-// endPlan clears the changes that the plan has considered and those that it made: a
-// worker that was given a task has no more room for others than before.
-func (d *dirtySet) endPlan() {
-	for _, w := range d.workers {
+// endPlan clears the changes that the plan made, since a worker that was given a task
+// has no more room for others than before, and those that it has considered. It keeps
+// the latter if keep is set: some steps were not tried on them.
+func (d *dirtySet) endPlan(keep bool) {
+	for _, w := range d.workers[d.planned:] {
 		w.dirty = false
 	}
-	d.workers = d.workers[:0]
+	if keep {
+		d.workers, d.planned = d.workers[:d.end], d.end
+		return
+	}
+	d.base += d.end
+	d.workers, d.planned = d.workers[:0], 0
+}
+
+// unplanned returns the workers that have changed since the last plan.
+func (d *dirtySet) unplanned() []*workerState { return d.workers[d.planned:d.end] }
+
+// since returns the workers that have changed after the given number of changes, up to
+// the start of the present plan. A worker may be listed more than once.
+func (d *dirtySet) since(changes int) []*workerState {
+	return d.workers[max(0, changes-d.base):d.end]
 }
 
+// changes returns the number of changes up to the start of the present plan.
+func (d *dirtySet) changes() int { return d.base + d.end }
+
 // add marks a worker for the next plan.
 func (d *dirtySet) add(w *workerState) {
 	if w.dirty {
--- a/internal/scheduler/dirty_test.go
+++ b/internal/scheduler/dirty_test.go
@@ -91,7 +91,7 @@
 		if i%7 == 0 {
 			h.plan()
 			h.shard.SetConfig(h.config)
-			must.SliceEmpty(t, h.shard.Plan(h.now, h.now.Milliseconds()).Starts)
+			must.SliceEmpty(t, h.shard.Plan(h.now, h.now.Milliseconds(), unlimitedStarts).Starts)
 		}
 	}
 	must.Positive(t, h.shard.Waiting()[2])
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -20,7 +20,7 @@
 	for _, group := range p.gangGroups(r, candidates) {
 		if members := p.assumeGang(r, image, group, number); members != nil {
 			for _, a := range members {
-				p.shard.issueStart(p.now, a)
+				p.issueStart(a)
 			}
 			return
 		}
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -46,11 +46,16 @@
 	// recordingPaused suspends recording, as during an outage of the store.
 	recordingPaused bool
 	throttleOrders  []scheduler.ThrottleAction
+	// maxStarts is the number of start orders per plan.
+	maxStarts int
 }
 
+// unlimitedStarts is more start orders than any test plans.
+const unlimitedStarts = 1 << 20
+
 func newHarness(t testing.TB, workers int) *harness {
 	h := &harness{
-		t: t, now: time.Minute, cluster: cluster.New(),
+		t: t, now: time.Minute, cluster: cluster.New(), maxStarts: unlimitedStarts,
 		entries: map[job.ID]*job.Entry{}, log: map[job.ID]job.Progress{},
 		enrolled: map[platform.WorkerID]job.Enrollment{}, unregistered: map[platform.WorkerID]bool{},
 		config: queue.New(1, []*queue.Queue{{Name: queueName, Service: service, MaxFailures: 3, Stretch: 2, Target: time.Second}},
@@ -164,11 +169,15 @@
 // plan executes orders until there are none left.
 func (h *harness) plan() {
 	for range 10 {
-		a := h.shard.Plan(h.now, h.now.Milliseconds())
+		a := h.shard.Plan(h.now, h.now.Milliseconds(), h.maxStarts)
 		if len(a.Starts)+len(a.Stops)+len(a.Throttles) == 0 {
 			return
 		}
-		for _, start := range a.Starts {
+		for _, planned := range a.Starts {
+			start, wanted := h.shard.BeginStart(h.now, planned)
+			if !wanted {
+				continue
+			}
 			answer, answered := h.cluster.Start(h.now, start.Worker.ID, start.Order)
 			h.shard.StartAnswered(h.now, start, answer, orderError(answered))
 		}
--- a/internal/scheduler/interference_test.go
+++ b/internal/scheduler/interference_test.go
@@ -262,8 +262,10 @@
 		h.cluster.Advance(h.now)
 		h.renewLeases("w00")
 		h.renewLeases("w00")
-		a := h.shard.Plan(h.now, h.now.Milliseconds())
-		for _, start := range a.Starts {
+		a := h.shard.Plan(h.now, h.now.Milliseconds(), unlimitedStarts)
+		for _, planned := range a.Starts {
+			start, wanted := h.shard.BeginStart(h.now, planned)
+			must.True(t, wanted)
 			answer, answered := h.cluster.Start(h.now, start.Worker.ID, start.Order)
 			h.shard.StartAnswered(h.now, start, answer, orderError(answered))
 		}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -59,8 +59,9 @@
 	startable []*task
 	queued    bool
 	// triedAll is set once each startable task was tried on every worker; workers that
-	// changed since then are in the dirty set.
-	triedAll bool
+	// changed since then are in the dirty set, after the first triedChanges changes.
+	triedAll     bool
+	triedChanges int
 	// waitingNotedAt is when a WaitingNote for the step was last added.
 	waitingNotedAt Instant
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -20,6 +20,31 @@
 	maxOrderDelay = 13 * time.Second
 )
 
+// BeginStart returns the order to send for a start action now, with a lease that counts
+// from now. It reports false if the order must not be sent because the attempt is not
+// to start any more; the action is then settled and StartAnswered must not be called.
+func (s *Shard) BeginStart(now Instant, action StartAction) (StartAction, bool) {
+	a := s.findAttempt(action.Worker, action.Order)
+	switch {
+	case a == nil:
+		return StartAction{}, false
+	case a.phase == withdrawn:
+		s.dropAttempt(now, a)
+		return StartAction{}, false
+	case a.phase != starting:
+		return StartAction{}, false
+	case !a.worker.clock.known:
+		// The worker has restarted since the plan. Without its clock no lease end can
+		// be given.
+		s.handleRefusedStart(now, a, false)
+		return StartAction{}, false
+	}
+	a.orderedAt, a.startSent = now, true
+	action.Worker = a.worker.info
+	action.Order.LeaseEnd = a.worker.clock.extendLease(now, s.leaseLength())
+	return action, true
+}
+
 // StartAnswered handles the answer to a start order. err is nil if the worker answered.
 func (s *Shard) StartAnswered(now Instant, action StartAction, answer fleet.Answer, err error) {
 	a := s.findAttempt(action.Worker, action.Order)
@@ -76,20 +101,19 @@
 	}
 	a.startTries++
 	if a.startTries < maxStartTries {
-		s.pending.Starts = append(s.pending.Starts, s.startAction(now, a))
+		s.pending.Starts = append(s.pending.Starts, s.startAction(a))
 		return
 	}
 	s.stopAttempt(now, a, reasonUnanswered)
 }
 
-// startAction returns the start order of an attempt.
-func (s *Shard) startAction(now Instant, a *attempt) StartAction {
+// startAction returns the start order of an attempt. BeginStart adds the lease.
+func (s *Shard) startAction(a *attempt) StartAction {
 	return StartAction{
 		Worker: a.worker.info,
 		Order: fleet.StartOrder{
 			Task: a.ref, Attempt: a.number, Payload: a.task.step.job.sub.Spec.Payload,
-			LeaseEnd: a.worker.clock.extendLease(now, s.leaseLength()), Token: s.epoch,
-			Checkpoint: a.checkpoint, Ticket: a.ticket,
+			Token: s.epoch, Checkpoint: a.checkpoint, Ticket: a.ticket,
 		},
 	}
 }
@@ -129,30 +153,52 @@
 }
 
 // stopAttempt orders an attempt to stop. Its resources stay reserved until its end is
-// known.
+// known. An attempt whose start order was not sent is only withdrawn.
 func (s *Shard) stopAttempt(now Instant, a *attempt, reason string) {
-	if a.phase == stopping || a.phase == stopped {
+	switch {
+	case a.phase == stopping || a.phase == stopped || a.phase == withdrawn:
 		return
-	}
-	if a.phase == starting {
+	case a.phase == starting && !a.startSent:
+		a.phase = withdrawn
+		return
+	case a.phase == starting:
 		a.startUncertain = true
 		a.worker.addUnansweredStart(now, a)
 	}
 	a.phase, a.orderedAt = stopping, now
 	s.notes.Stopped = append(s.notes.Stopped, StoppedNote{Task: a.ref, Attempt: a.number, Worker: a.worker.info.ID, Reason: reason})
-	s.issueStop(a.worker, a.ref, a.number)
+	s.ensureStop(a.worker, a.ref, a.number)
+}
+
+// stopKey identifies an attempt that is ordered to stop.
+type stopKey struct {
+	worker platform.WorkerID
+	task   job.TaskRef
+	number platform.Attempt
+}
+
+// ensureStop issues a stop order unless one is in flight.
+func (s *Shard) ensureStop(w *workerState, ref job.TaskRef, number platform.Attempt) {
+	if s.stopsInFlight[stopKey{w.info.ID, ref, number}] == 0 {
+		s.issueStop(w, ref, number)
+	}
 }
 
 func (s *Shard) issueStop(w *workerState, ref job.TaskRef, number platform.Attempt) {
+	s.stopsInFlight[stopKey{w.info.ID, ref, number}]++
 	s.pending.Stops = append(s.pending.Stops, StopAction{
 		Worker: w.info,
 		Order:  fleet.StopOrder{Task: ref, Attempt: number, Token: s.epoch},
 	})
 }
 
-// StopAnswered handles the answer to a stop order. An unanswered order is repeated
-// while the attempt is tracked.
+// StopAnswered handles the outcome of a stop order; it must be called for each, also if
+// the order was not sent. An unanswered order is repeated while the attempt is tracked.
 func (s *Shard) StopAnswered(now Instant, action StopAction, answer fleet.Answer, err error) {
+	key := stopKey{action.Worker.ID, action.Order.Task, action.Order.Attempt}
+	if s.stopsInFlight[key]--; s.stopsInFlight[key] <= 0 {
+		delete(s.stopsInFlight, key)
+	}
 	worker, ok := s.workers[action.Worker.ID]
 	if !ok || err != nil || answer.Verdict != fleet.Accepted {
 		return
@@ -167,10 +213,12 @@
 	}
 }
 
-// repeatStops repeats the stop orders that were not answered in time.
+// repeatStops repeats the stop orders that were not answered. While the order before is
+// in flight a repeat would only add to what delays it.
 func (s *Shard) repeatStops(now Instant, w *workerState) {
 	for _, a := range w.attempts {
-		if a.phase == stopping && now >= a.orderedAt+stopRepeatInterval {
+		inFlight := s.stopsInFlight[stopKey{w.info.ID, a.ref, a.number}] > 0
+		if a.phase == stopping && !inFlight && now >= a.orderedAt+stopRepeatInterval {
 			a.orderedAt = now
 			s.issueStop(w, a.ref, a.number)
 		}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -60,9 +60,11 @@
 const PlanPeriod = 200 * time.Millisecond
 
 // Plan returns the orders to send now. nowMS is the time of day in Unix milliseconds.
-// Plan must be called again after PlanPeriod or after the next answer, whichever comes
-// first.
-func (s *Shard) Plan(now Instant, nowMS int64) Actions {
+// maxStarts is the number of start orders that can be sent now: tasks beyond it keep
+// waiting. The members of a gang start together, also if they exceed it, and repeated
+// start orders count towards it but are not held back. Plan must be called again after
+// PlanPeriod or after the next answer, whichever comes first.
+func (s *Shard) Plan(now Instant, nowMS int64, maxStarts int) Actions {
 	s.now, s.nowMS = now, nowMS
 	full := s.dirty.beginPlan(now)
 	if full {
@@ -73,21 +75,26 @@
 			s.issueThrottleOrders(now, w)
 		}
 	}
-	for _, w := range s.dirty.workers {
+	for _, w := range s.dirty.unplanned() {
 		s.issueThrottleOrders(now, w)
 	}
 	s.addDueOccurrences(now)
-	p := placement{shard: s, now: now, full: full}
+	p := placement{shard: s, now: now, full: full || s.dirty.placeAll, startsLeft: maxStarts - len(s.pending.Starts)}
 	p.place()
 	if full {
 		p.drainWorkers()
 	}
-	s.dirty.endPlan()
+	s.dirty.endPlan(p.cutShort && !p.full)
 	return s.takePending()
 }
 
-// place starts waiting tasks in order while there is room.
+// place starts waiting tasks in order while there is room and start orders are left.
 func (p *placement) place() {
+	if p.startsLeft <= 0 {
+		p.cutShort, p.shard.dirty.placeAll = true, p.full
+		return
+	}
+	p.shard.dirty.placeAll = false
 	waiting := &p.shard.waiting
 	waiting.compact()
 	if len(waiting.steps) == 0 {
@@ -96,7 +103,11 @@
 	if p.full || !waiting.sorted {
 		waiting.sort(p.shard.nowMS)
 	}
-	for _, r := range waiting.steps {
+	for i, r := range waiting.steps {
+		if p.startsLeft <= 0 {
+			p.leaveSteps(waiting.steps[i:])
+			return
+		}
 		p.placeStep(r)
 		if len(r.startable) > 0 {
 			p.noteWaiting(r)
@@ -104,6 +115,18 @@
 	}
 }
 
+// leaveSteps leaves steps to a later plan because no start orders are left. If they were
+// to be tried on every worker, they still are; otherwise the dirty set is kept.
+func (p *placement) leaveSteps(steps []*stepRun) {
+	p.cutShort = true
+	if !p.full {
+		return
+	}
+	for _, r := range steps {
+		r.triedAll = false
+	}
+}
+
 // waitingNoteInterval is the time between two notes on the same waiting step.
 const waitingNoteInterval = time.Second
 
@@ -146,12 +169,18 @@
 	now   Instant
 	// full is set if every step is tried on every worker.
 	full bool
+	// startsLeft is how many more start orders can be sent. cutShort is set once a
+	// waiting task was not tried because none were left.
+	startsLeft int
+	cutShort   bool
 	// allKnown caches whether every attempt of earlier owners is known; nil until
 	// needed.
 	allKnown *bool
 	// schedulable are the workers that may get tasks, and schedulableDirty those of
-	// them that changed since the last plan, by service. Both are nil until needed.
+	// them that changed after the first dirtySince changes, by service. Both are nil
+	// until needed.
 	schedulable, schedulableDirty map[platform.ServiceName][]*workerState
+	dirtySince                    int
 }
 
 // schedulableWorkers returns the workers of a service that may get new tasks at all.
@@ -168,8 +197,9 @@
 	if p.full || !r.triedAll {
 		return p.schedulableWorkers(p.service(r))
 	}
-	if p.schedulableDirty == nil {
-		p.schedulableDirty = p.groupSchedulable(p.shard.dirty.workers)
+	if p.schedulableDirty == nil || p.dirtySince != r.triedChanges {
+		p.schedulableDirty = p.groupSchedulable(p.shard.dirty.since(r.triedChanges))
+		p.dirtySince = r.triedChanges
 	}
 	dirty := p.schedulableDirty[p.service(r)]
 	if len(dirty) > 0 && (r.spec.Gang || r.advice != nil) {
@@ -188,8 +218,9 @@
 			byService[w.info.Service] = append(byService[w.info.Service], w)
 		}
 	}
-	for _, workers := range byService {
+	for service, workers := range byService {
 		slices.SortFunc(workers, compareWorkers)
+		byService[service] = slices.Compact(workers)
 	}
 	return byService
 }
@@ -199,6 +230,7 @@
 	q := p.shard.config.Queues[r.job.sub.Queue]
 	r.initAdvice(q)
 	candidates := p.candidates(r)
+	r.triedChanges = p.shard.dirty.changes()
 	if len(candidates) == 0 {
 		return
 	}
@@ -208,6 +240,10 @@
 	} else {
 		p.placeTasks(r, image, candidates)
 	}
+	if p.cutShort {
+		r.triedAll = false
+		return
+	}
 	r.triedAll = !slices.ContainsFunc(r.startable, func(t *task) bool { return !p.safeToStart(t) })
 	if len(r.startable) > 0 && r.advice != nil && q != nil && q.Advice != nil {
 		p.requestAdvice(r, q, candidates)
@@ -229,11 +265,15 @@
 		if !p.safeToStart(t) {
 			continue
 		}
+		if p.startsLeft <= 0 {
+			p.cutShort = true
+			return
+		}
 		w := p.chooseWorker(t, image, candidates)
 		if w == nil {
 			return
 		}
-		p.shard.issueStart(p.now, p.shard.assume(p.now, t, w, t.nextAttempt(p.shard)))
+		p.issueStart(p.shard.assume(p.now, t, w, t.nextAttempt(p.shard)))
 	}
 }
 
@@ -268,7 +308,8 @@
 }
 
 // issueStart sends the start order of an assumed attempt.
-func (s *Shard) issueStart(now Instant, a *attempt) {
-	s.markStarted(a.task.step.job)
-	s.pending.Starts = append(s.pending.Starts, s.startAction(now, a))
+func (p *placement) issueStart(a *attempt) {
+	p.startsLeft--
+	p.shard.markStarted(a.task.step.job)
+	p.shard.pending.Starts = append(p.shard.pending.Starts, p.shard.startAction(a))
 }
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -150,7 +150,7 @@
 	a := w.attempts[r.Task]
 	if a != nil && a.number != r.Attempt {
 		if a.number > r.Attempt {
-			s.issueStop(w, r.Task, r.Attempt)
+			s.ensureStop(w, r.Task, r.Attempt)
 			return
 		}
 		s.loseAttempt(now, a, "another attempt runs")
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -75,6 +75,8 @@
 	headroom    *headroom.Model
 	lengths     *length.Model
 
+	// stopsInFlight counts the stop orders that were issued and have no outcome yet.
+	stopsInFlight map[stopKey]int
 	// openAdviceRequests counts the requests to the advice service that are in flight.
 	openAdviceRequests int
 
@@ -93,13 +95,14 @@
 	return &Shard{
 		bounds: b, epoch: o.Epoch, firstAttempt: platform.Attempt(o.Claim-1)*attemptsPerClaim + 1,
 		claim: o.Claim, takenOverAt: now, takeover: takeover{predecessors: predecessors},
-		config:     queue.New(0, nil, nil, queue.Limits{}),
-		jobs:       map[job.ID]*jobState{},
-		periodic:   map[job.ID]*jobState{},
-		workers:    map[platform.WorkerID]*workerState{},
-		startRates: map[capacityClass]*startRate{},
-		headroom:   headroom.NewModel(),
-		lengths:    length.NewModel(),
+		config:        queue.New(0, nil, nil, queue.Limits{}),
+		jobs:          map[job.ID]*jobState{},
+		periodic:      map[job.ID]*jobState{},
+		workers:       map[platform.WorkerID]*workerState{},
+		startRates:    map[capacityClass]*startRate{},
+		stopsInFlight: map[stopKey]int{},
+		headroom:      headroom.NewModel(),
+		lengths:       length.NewModel(),
 		journal: journal{
 			dirty: map[job.ID]*jobState{}, enrolled: map[platform.WorkerID]*workerState{},
 			unenrolled: map[platform.WorkerID]bool{},
@@ -113,7 +116,8 @@
 // SetConfig applies a version of the declarations.
 func (s *Shard) SetConfig(c *queue.Config) { s.config, s.dirty.all = c, true }
 
-// StartAction is an order to start a task.
+// StartAction is an order to start a task, to be passed to BeginStart when it can be
+// sent.
 type StartAction struct {
 	Worker fleet.Worker
 	Order  fleet.StartOrder
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -66,7 +66,7 @@
 type phase uint8
 
 const (
-	// starting: the start order was sent and not answered.
+	// starting: the start order is to be sent, or was sent and not answered.
 	starting phase = iota
 	// running: the worker accepted the start order or lists the attempt.
 	running
@@ -74,6 +74,8 @@
 	stopping
 	// stopped: the worker accepted the stop order; the end is not listed yet.
 	stopped
+	// withdrawn: the attempt is not wanted any more and its start order was not sent.
+	withdrawn
 )
 
 // attempt is one attempt of a task on a worker. While it is tracked, its resources are
@@ -90,6 +92,8 @@
 	orderedAt   Instant
 	confirmedAt Instant
 	startTries  int
+	// startSent is set once a start order was sent.
+	startSent bool
 	// startUncertain is set once a start order got no answer: the worker may still
 	// carry it out.
 	startUncertain bool
@@ -206,6 +210,7 @@
 	}
 	for ref, start := range w.unansweredStarts {
 		if now < start.expiresAt {
+			// A stop order in flight may be meant for the previous run.
 			s.issueStop(w, ref, start.number)
 		}
 	}
