Bound the first contacts with workers

Callers saw leases lapse whenever a host with a 10 Mbit/s link took the shard over.

Cause: a renewal without a wait is answered with the worker's lists at once. After a takeover all workers were called at the same moment, their lists filled the link, and lost workers were called again every 200 ms. Change: 64 renewals without a wait are in flight; each is computed once it has its place, so its lease end is fresh. One that is not answered for 200 ms gives its place up, since lost workers must not hold up the others. Retries come after 200, 400 and then 800 ms. Result, virtual time, 400 workers: 400 in flight at once before (TestFirstContactsAreBounded failed), 17 calls of a lost worker in 20 s (TestUnansweredRenewalsBackOff failed); both pass.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -57,6 +57,8 @@
 	// stops and throttles are the lanes of these orders. Start orders are bounded by
 	// starts.
 	stops, throttles *lane
+	// firstContacts bounds the renew orders without a wait that are in flight.
+	firstContacts chan struct{}
 	// planRequested triggers a plan, recordRequested an append to the log.
 	planRequested   chan struct{}
 	recordRequested chan struct{}
@@ -101,6 +103,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Dispatcher{
 		Config: c, ctx: ctx, cancel: cancel, starts: newStartWindow(),
+		firstContacts: make(chan struct{}, maxFirstContacts),
 		planRequested: make(chan struct{}, 1), recordRequested: make(chan struct{}, 1),
 		stopRequested: make(chan struct{}), finalRecordDone: make(chan struct{}),
 		shard:         scheduler.New(c.Bounds, c.Ownership, c.Clock(), c.Predecessors),
--- a/internal/process/dispatch/renew.go
+++ b/internal/process/dispatch/renew.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -11,9 +12,19 @@
 	"github.com/siskinvane/siskinvane/internal/scheduler"
 )
 
-// renewRetryDelay is the delay before the next try when a worker did not answer, and
-// the longest wait for its ended attempts to be recorded.
-const renewRetryDelay = 200 * time.Millisecond
+const (
+	// renewRetryDelay is the delay before the next try when a worker did not answer for
+	// the first time, and the longest wait for its ended attempts to be recorded. The
+	// delay doubles with each further try up to maxRenewRetryDelay.
+	renewRetryDelay    = 200 * time.Millisecond
+	maxRenewRetryDelay = 800 * time.Millisecond
+	// maxFirstContacts bounds the renew orders without a wait that are in flight: after
+	// a takeover the lists of all workers together would fill the host's link.
+	maxFirstContacts = 64
+	// firstContactHold is how long an unanswered renew order without a wait counts as
+	// in flight. Workers that are lost must not delay the contact with the others.
+	firstContactHold = 200 * time.Millisecond
+)
 
 // startRenewing starts the loop that renews a worker's leases and reads its lists of
 // running and ended attempts. The caller holds d.mu.
@@ -29,25 +40,76 @@
 func (d *Dispatcher) renewLoop(id platform.WorkerID) {
 	failures := 0
 	for d.ctx.Err() == nil {
-		d.mu.Lock()
-		sent := d.Clock()
-		worker, order, ok := d.shard.RenewOrder(sent, id)
-		if !ok {
-			delete(d.renewing, id)
-		}
-		d.mu.Unlock()
+		r, ok := d.nextRenewal(id)
 		if !ok {
 			return
 		}
-		if d.MayAct() && d.renewLeases(sent, worker, order, failures == 0) {
+		answered, mayAct := false, d.MayAct()
+		if mayAct {
+			answered = d.renewLeases(r.sent, r.worker, r.order, failures == 0)
+		}
+		r.release()
+		if answered {
 			failures = 0
 			d.awaitEndsRecorded(id)
 			d.pauseBeforeRenewal(id)
 			continue
 		}
-		failures++
+		if mayAct {
+			failures++
+		}
 		// The loop ends with the context.
-		_ = pause.For(d.ctx, renewRetryDelay)
+		_ = pause.For(d.ctx, retryDelay(failures))
+	}
+}
+
+// retryDelay returns the delay before the next renewal after the given number of
+// unanswered ones.
+func retryDelay(failures int) time.Duration {
+	delay := renewRetryDelay
+	for i := 1; i < failures && delay < maxRenewRetryDelay; i++ {
+		delay *= 2
+	}
+	return min(delay, maxRenewRetryDelay)
+}
+
+// renewal is a renew order that is about to be sent.
+type renewal struct {
+	sent   scheduler.Instant
+	worker fleet.Worker
+	order  fleet.RenewOrder
+	// release must be called once the order was answered or failed.
+	release func()
+}
+
+// nextRenewal returns the next renew order for a worker. Before an order without a wait
+// it waits until fewer than maxFirstContacts are in flight. It reports false if the
+// shard no longer needs the worker or the dispatcher has ended.
+func (d *Dispatcher) nextRenewal(id platform.WorkerID) (renewal, bool) {
+	r := renewal{release: func() {}}
+	for held := false; ; held = true {
+		d.mu.Lock()
+		if held || !d.shard.RenewsAtOnce(id) {
+			r.sent = d.Clock()
+			ok := false
+			if r.worker, r.order, ok = d.shard.RenewOrder(r.sent, id); !ok {
+				delete(d.renewing, id)
+			}
+			d.mu.Unlock()
+			if !ok || r.order.Wait > 0 {
+				r.release()
+			} else {
+				time.AfterFunc(firstContactHold, r.release)
+			}
+			return r, ok
+		}
+		d.mu.Unlock()
+		select {
+		case d.firstContacts <- struct{}{}:
+			r.release = sync.OnceFunc(func() { <-d.firstContacts })
+		case <-d.ctx.Done():
+			return r, false
+		}
 	}
 }
 
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -50,6 +50,13 @@
 	return w.info, o, true
 }
 
+// RenewsAtOnce reports whether the next renew order to a worker has no wait: the worker
+// then returns its lists immediately.
+func (s *Shard) RenewsAtOnce(id platform.WorkerID) bool {
+	w, ok := s.workers[id]
+	return ok && (!w.clock.known || w.unresponsive())
+}
+
 // renewWait returns how long a worker may wait for an end before it answers.
 func (s *Shard) renewWait(w *workerState) time.Duration {
 	switch {
