Pace renewals by the answer time and let the window of starts shrink to 2

What callers saw: on a full link work ran twice, ran on after its job was cancelled, or was not started.

Cause: a worker answers a renewal at once while it has ends to tell, so while tasks wait renewals grow with the ends: with 40 workers on 100 kB/s they took some 70 kB/s, and 16 starts in flight are 0.4 s of that link.

The pause between two renewals of a worker is four times the smoothed answer time of starts, at most 0.6 s, and nothing while answers are fast or no start is in flight. One renewal then tells more ends.

The tests of the window name its initial size where they used its lower bound, which was the same.

--- a/internal/process/dispatch/renew.go
+++ b/internal/process/dispatch/renew.go
@@ -114,10 +114,10 @@
 }
 
 // pauseBeforeRenewal delays the next renewal for a worker while no job waits for its
-// attempts to end.
+// attempts to end or the link is full.
 func (d *Dispatcher) pauseBeforeRenewal(id platform.WorkerID) {
 	d.mu.Lock()
-	wait := d.shard.RenewPause(id)
+	wait := max(d.shard.RenewPause(id), d.starts.renewPause())
 	d.mu.Unlock()
 	if wait > 0 {
 		// The loop ends with the context.
--- a/internal/process/dispatch/window.go
+++ b/internal/process/dispatch/window.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// minStartWindow and maxStartWindow bound the start orders in flight.
-	minStartWindow = 16
-	maxStartWindow = 256
+	// minStartWindow and maxStartWindow bound the start orders in flight, and
+	// initialStartWindow applies after a takeover.
+	minStartWindow     = 2
+	initialStartWindow = 16
+	maxStartWindow     = 256
 	// growBelow is the smoothed answer time below which the window grows, shrinkAbove
 	// that above which it shrinks. Both are well below the time that an order waits for
 	// its answer, so that orders do not time out because of the queue on the link.
@@ -58,7 +60,26 @@
 }
 
 func newStartWindow() startWindow {
-	return startWindow{size: minStartWindow, silent: map[platform.WorkerID]int{}}
+	return startWindow{size: initialStartWindow, silent: map[platform.WorkerID]int{}}
+}
+
+const (
+	// renewPauseFactor is the pause between two renewals of a worker as a multiple of
+	// the smoothed answer time.
+	renewPauseFactor = 4
+	// maxRenewPause bounds that pause. A renewal every 1.8 s, with the worker's wait,
+	// keeps leases alive although one order is lost.
+	maxRenewPause = 600 * time.Millisecond
+)
+
+// renewPause returns how long to wait between two renewals of a worker for the sake of
+// the link: nothing while answers are fast. A worker answers each renewal at its next
+// end, so without a pause renewals grow with the ends and leave no room for starts.
+func (w *startWindow) renewPause() time.Duration {
+	if w.inFlight == 0 || w.answerTime < growBelow {
+		return 0
+	}
+	return min(maxRenewPause, renewPauseFactor*w.answerTime)
 }
 
 // available returns how many more orders may be sent, not less than zero.
--- a/internal/process/dispatch/window_test.go
+++ b/internal/process/dispatch/window_test.go
@@ -37,7 +37,7 @@
 	now := w.answerAll(time.Minute, time.Millisecond, 4*time.Millisecond, 20, "w", true)
 	w.answerTime = 100 * time.Millisecond
 	now = w.answerAll(now, time.Millisecond, 100*time.Millisecond, 500, "w", true)
-	must.Eq(t, minStartWindow+20, w.available(now))
+	must.Eq(t, initialStartWindow+20, w.available(now))
 }
 
 // TestDeadWorkersDoNotShrinkWindow: the unanswered orders of a tenth of the workers
@@ -70,7 +70,7 @@
 func TestWithdrawnStartLeavesWindow(t *testing.T) {
 	w, now := newStartWindow(), time.Minute
 	var orders []*windowOrder
-	for range minStartWindow + 3 {
+	for range initialStartWindow + 3 {
 		orders = append(orders, w.add(now, "w"))
 	}
 	must.Eq(t, 0, w.available(now))
@@ -86,13 +86,26 @@
 func TestOverdueStartLeavesWindowOnce(t *testing.T) {
 	w, now := newStartWindow(), time.Minute
 	late := w.add(now, "w")
-	for range minStartWindow - 1 {
+	for range initialStartWindow - 1 {
 		w.add(now+overdueAfter, "w")
 	}
 	must.Eq(t, 0, w.available(now+overdueAfter))
 	must.Eq(t, 1, w.available(now+overdueAfter+1))
-	must.Eq(t, minStartWindow, w.inFlight)
+	must.Eq(t, initialStartWindow, w.inFlight)
 	w.finish(now+400*time.Millisecond, late, 400*time.Millisecond, false)
 	must.Eq(t, 1, w.available(now+overdueAfter+1))
-	must.Eq(t, minStartWindow-1, w.inFlight)
+	must.Eq(t, initialStartWindow-1, w.inFlight)
+}
+
+// TestRenewalsPauseOnAFullLink: renewals grew with the ends of tasks and took most of a
+// full link, so that starts and stops timed out.
+func TestRenewalsPauseOnAFullLink(t *testing.T) {
+	w, now := newStartWindow(), time.Minute
+	now = w.answerAll(now, time.Millisecond, 4*time.Millisecond, 20, "w", true)
+	w.add(now, "w")
+	must.Zero(t, w.renewPause())
+	w.answerTime = 100 * time.Millisecond
+	must.Eq(t, 400*time.Millisecond, w.renewPause())
+	w.answerTime = time.Second
+	must.Eq(t, maxRenewPause, w.renewPause())
 }
