Prefer hosts with wide links as owners of the shard

Callers and workers saw starts answered after a second and more, lapsed leases and late stops once a host with a 10 Mbit/s link owned the shard. The group assigns the only partition to any member, and most members have narrow links, while an owner of 500 workers sends 40 Mbit/s.

Hosts with a known link of less than 50 Mbit/s are standby hosts now: they are members of the group only while they own the shard or have seen no live owner for 2 s, 1.2 s if the last owner was a standby host too. They ask the recorded owner every 0.5 s. Meanwhile they join the group "observers", so that they know whether the store answers; epochs still come from the one group. A preferred host offers itself to a standby owner, which then leaves the group and goes on until it is fenced, as at a planned stop.

Hosts whose link is unknown or wide are members all the time, as before. An owner of an earlier version, which does not know the call, counts as alive while it accepts records. The ownership record has a new optional field.

Evidence: with standby() always false, TestNarrowHostLeavesShardToWideOne, TestNarrowHostTakesOverFromCutOnes, TestShardReturnsToWideHost, TestUnclaimedShardStaysWithNarrowOwner, TestStoreOutageKeepsOrderOfHosts and TestOwnerOfEarlierVersionCountsAsAlive fail; the other new tests guard what must not change.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -34,7 +34,10 @@
 	// these calls.
 	Peer    netip.AddrPort
 	Network peer.Network
-	Bounds  scheduler.Bounds
+	// LinkMbps is the bandwidth of the host's network link in megabit/s, 0 if unknown.
+	// A host with a narrow link owns the shard only while no other host can.
+	LinkMbps float64
+	Bounds   scheduler.Bounds
 	// AppendBytes is the greatest size of one append to the store.
 	AppendBytes int
 	// Retention is how long callers can query a job after its end.
@@ -67,13 +70,18 @@
 // Node is siskin-scheduler on one host. Its methods are safe for concurrent use.
 type Node struct {
 	Config
-	partition   store.Partition
-	table       *job.Table
-	member      *group.Member
+	partition store.Partition
+	table     *job.Table
+	member    *group.Member
+	// observer is the membership of a standby host that is not in the shards' group.
+	observer    *group.Member
 	storeHealth *storeHealth
 	server      *peer.Server
 	peers       *peer.Client
-	config      atomic.Pointer[queue.Config]
+	// probes makes the calls that choose the owner. A call that times out closes its
+	// connection, which must not be one of peers.
+	probes *peer.Client
+	config atomic.Pointer[queue.Config]
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -93,6 +101,15 @@
 	leaving atomic.Bool
 	direct  directWriter
 
+	watch ownerWatch
+	// inGroup is set while the host may be in the shards' group; takingOver while it
+	// takes the shard over.
+	inGroup    atomic.Bool
+	takingOver atomic.Bool
+	// handBackAt is the time of the last attempt to hand the shard to a preferred host,
+	// used by runStandby only.
+	handBackAt time.Duration
+
 	mu             sync.Mutex
 	dispatcher     *dispatch.Dispatcher
 	stopOwnerLoops context.CancelFunc
@@ -103,12 +120,15 @@
 	c.Store = &instrumentedStore{Store: c.Store, metrics: c.Metrics, clock: c.Clock}
 	n := &Node{
 		Config: c, partition: store.Partition{Topic: JobTopic}, table: job.NewTable(), readToken: make(chan struct{}, 1), peers: peer.NewClientOn(c.Network),
+		probes: peer.NewClientOn(c.Network), watch: ownerWatch{aliveAt: c.Clock()}, handBackAt: c.Clock() - handBackInterval,
 	}
 	n.direct.node = n
 	n.storeHealth = &storeHealth{logger: c.Logger, clock: c.Clock, failedSince: map[string]time.Duration{}}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.reader = keyed.NewReader(c.Store, n.partition)
-	n.member = group.New(c.Store, c.Clock, groupName, fmt.Sprintf("%s-%d", c.Host, time.Now().UnixNano()), JobTopic)
+	memberName := fmt.Sprintf("%s-%d", c.Host, time.Now().UnixNano())
+	n.member = group.New(c.Store, c.Clock, groupName, memberName, JobTopic)
+	n.observer = group.New(c.Store, c.Clock, observerGroupName, memberName, JobTopic)
 	var err error
 	if n.server, err = peer.ListenOn(c.Network, c.Peer, peerService, &Service{node: n}); err != nil {
 		return nil, err
@@ -119,6 +139,16 @@
 	groupCtx, leave := context.WithCancel(n.ctx)
 	n.leaveGroup = leave
 	n.joinsEnded = make(chan struct{})
+	if n.standby() {
+		n.background.Go(func() { n.watchOwner(groupCtx) })
+		n.background.Go(func() {
+			defer close(n.joinsEnded)
+			n.runStandby(groupCtx)
+		})
+		return n, nil
+	}
+	n.inGroup.Store(true)
+	n.background.Go(n.offerToOwn)
 	n.background.Go(func() {
 		defer close(n.joinsEnded)
 		n.member.Run(groupCtx, n.handleAssignment)
@@ -148,7 +178,7 @@
 
 // Ready reports whether the node can accept jobs.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.Queues() != nil && n.member.ConfirmationAge() < readyMaxOutage
+	return !n.leaving.Load() && n.Queues() != nil && n.storeAge() < readyMaxOutage
 }
 
 // readyMaxOutage is how long a node stays ready without an answer from the store.
@@ -302,7 +332,7 @@
 // handOver leaves the group and waits for the next owner. It retries a leave request
 // that failed and returns the last error.
 func (n *Node) handOver(ctx context.Context) error {
-	err := n.member.Leave(ctx)
+	err := n.leaveMember(ctx)
 	deadline, bounded := ctx.Deadline()
 	if !bounded {
 		return err
@@ -316,7 +346,7 @@
 		case <-time.After(handOverPollInterval):
 		}
 		if err != nil {
-			err = n.member.Leave(ctx)
+			err = n.leaveMember(ctx)
 		}
 	}
 	return err
@@ -343,4 +373,5 @@
 	}
 	go n.server.Close()
 	n.peers.Close()
+	n.probes.Close()
 }
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -28,9 +28,7 @@
 func (n *Node) handleAssignment(a store.Assignment, err error) {
 	d := n.ownedDispatcher()
 	if d != nil && d.Err() != nil {
-		event.OwnershipLost.Log(n.Logger, logrus.Fields{"epoch": d.Ownership.Epoch, "error": d.Err()})
-		n.releaseShard()
-		n.member.Keep(false)
+		n.dropShard(d)
 		return
 	}
 	if err != nil {
@@ -39,6 +37,8 @@
 	if d != nil || !a.Holds(n.partition) || n.leaving.Load() {
 		return
 	}
+	n.takingOver.Store(true)
+	defer n.takingOver.Store(false)
 	n.member.Keep(true)
 	if err := n.takeOver(a.Epoch); err != nil {
 		event.OwnershipFailed.Log(n.Logger, logrus.Fields{"epoch": a.Epoch, "error": err})
@@ -46,6 +46,13 @@
 	}
 }
 
+// dropShard releases the shard after its dispatcher d has given it up.
+func (n *Node) dropShard(d *dispatch.Dispatcher) {
+	event.OwnershipLost.Log(n.Logger, logrus.Fields{"epoch": d.Ownership.Epoch, "error": d.Err()})
+	n.releaseShard()
+	n.member.Keep(false)
+}
+
 // takeOver fences earlier owners, reads the log to its end and starts the dispatcher.
 func (n *Node) takeOver(epoch platform.Epoch) error {
 	ctx, cancel := context.WithTimeout(n.ctx, takeOverTimeout)
@@ -58,7 +65,7 @@
 		return err
 	}
 	previous := n.table.Owner()
-	own := job.Ownership{Host: n.Host, Addr: n.Peer.String(), Epoch: epoch, Claim: previous.Claim + 1}
+	own := job.Ownership{Host: n.Host, Addr: n.Peer.String(), Epoch: epoch, Claim: previous.Claim + 1, Standby: n.standby()}
 	d, err := dispatch.New(dispatch.Config{
 		Store: n.Store, Partition: n.partition, Workers: n.Workers, Advisor: n.Advisor, Clock: n.Clock, Logger: n.Logger, Metrics: n.Metrics,
 		Bounds: n.bounds(), Ownership: own, Predecessors: n.predecessors(), AppendBytes: n.AppendBytes,
--- a/internal/process/node/write.go
+++ b/internal/process/node/write.go
@@ -156,7 +156,7 @@
 	if n.leaving.Load() {
 		return max(0, n.SinceCaughtUp()-followInterval)
 	}
-	return n.member.ConfirmationAge()
+	return n.storeAge()
 }
 
 // notifyOwner sends records that are in the log to the shard's owner.
--- a/internal/process/node/write_test.go
+++ b/internal/process/node/write_test.go
@@ -64,12 +64,18 @@
 
 // startHost starts a host. The test has to stop it.
 func (c *testCluster) startHost(t *testing.T, name string, last byte) *Node {
+	t.Helper()
+	return c.startLinkedHost(t, name, last, 0)
+}
+
+// startLinkedHost is like startHost for a host whose link has the given bandwidth.
+func (c *testCluster) startLinkedHost(t *testing.T, name string, last byte, linkMbps float64) *Node {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	ip := netip.AddrFrom4([4]byte{127, 0, 1, last})
 	n, err := Start(Config{
-		Host: platform.HostID(name), Peer: netip.AddrPortFrom(ip, 7720), Network: c.network.Host(ip),
+		Host: platform.HostID(name), Peer: netip.AddrPortFrom(ip, 7720), Network: c.network.Host(ip), LinkMbps: linkMbps,
 		Logger: logger, Metrics: metrics.NewRegistry(), Clock: func() time.Duration { return time.Since(c.started) },
 		Retention: time.Minute, AppendBytes: memstore.MaxAppendBytes,
 		Store: c.view(name), Registry: func() fleet.Registry { return noWorkers{} }, Declarations: &staticDeclarations{},
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -90,6 +90,8 @@
 	Epoch    platform.Epoch  `cbor:"3,keyasint"`
 	// Claim is the owner's number in the sequence of the shard's owners, from 1.
 	Claim uint32 `cbor:"4,keyasint"`
+	// Standby is set if the owner's network link is too narrow for a preferred owner.
+	Standby bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Enrollment is the record of a worker on which an owner may start tasks and extend
