Read the bandwidth of a host's link from the settings

The platform tells each process the bandwidth of its machine's link (limits.link_mbps), but siskin-scheduler was not given it and could not choose owners by it. The optional setting link_mbps passes it on; 0 or no value means unknown, and the host stays a preferred owner. It is read at the start only.

--- a/internal/process/settings/scheduler.go
+++ b/internal/process/settings/scheduler.go
@@ -25,9 +25,12 @@
 	Machines netip.AddrPort `json:"machines,omitzero"`
 	Advice   netip.AddrPort `json:"advice,omitzero"`
 	// MemoryMB is the memory that the process may use, Processors the number of cores.
-	MemoryMB   int64  `json:"memory_mb"`
-	Processors int    `json:"processors"`
-	Bounds     Bounds `json:"bounds"`
+	MemoryMB   int64 `json:"memory_mb"`
+	Processors int   `json:"processors"`
+	// LinkMbps is the bandwidth of the host's network link in megabit/s. It is optional;
+	// 0 means unknown.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
+	Bounds   Bounds  `json:"bounds"`
 	// LogLevel is the minimum level of log lines; empty means "info".
 	LogLevel string `json:"log_level,omitempty"`
 }
@@ -63,6 +66,7 @@
 	maxMemoryMB     = 1 << 20
 	maxProcessors   = 1024
 	maxRemoteFactor = 100
+	maxLinkMbps     = 10_000_000
 )
 
 // LoadScheduler reads the settings file of siskin-scheduler. The error names each
@@ -85,6 +89,7 @@
 	})
 	jsonfield.Range(c, "memory_mb", s.MemoryMB, minMemoryMB, maxMemoryMB)
 	jsonfield.Range(c, "processors", s.Processors, 1, maxProcessors)
+	jsonfield.Range(c, "link_mbps", s.LinkMbps, 0, maxLinkMbps)
 	jsonfield.Range(c, "bounds.max_lease_ms", s.Bounds.MaxLeaseMS, 1, maxBoundMS)
 	jsonfield.Range(c, "bounds.stop_grace_ms", s.Bounds.StopGraceMS, 0, maxBoundMS)
 	jsonfield.Range(c, "bounds.machine_lease_ms", s.Bounds.MachineLeaseMS, 0, maxBoundMS)
--- a/internal/process/settings/scheduler_test.go
+++ b/internal/process/settings/scheduler_test.go
@@ -16,7 +16,7 @@
 const schedulerSettings = `{
   "host": "h1", "failure_domain": "catania",
   "callers": "10.1.0.1:80", "readiness": "10.1.0.1:81", "peer": "10.1.0.1:82",
-  "store": "10.9.0.1:80", "memory_mb": 284, "processors": 1,
+  "store": "10.9.0.1:80", "memory_mb": 284, "processors": 1, "link_mbps": 12.5,
   "bounds": {"max_lease_ms": 10000, "stop_grace_ms": 900, "shutdown_s": 6, "remote_factor": 1.5, "retention_s": 120, "append_bytes": 2097152}
 }`
 
@@ -32,6 +32,7 @@
 	must.NoError(t, err)
 	must.Eq(t, "h1", string(s.Host))
 	must.Eq(t, 6, s.Bounds.ShutdownSeconds)
+	must.Eq(t, 12.5, s.LinkMbps)
 }
 
 func TestLoadSchedulerNamesFaults(t *testing.T) {
@@ -44,6 +45,7 @@
 		"failure_domain": {`"catania"`, `""`},
 		"max_lease_ms":   {`"max_lease_ms": 10000`, `"max_lease_ms": 0`},
 		"append_bytes":   {`"append_bytes": 2097152`, `"append_bytes": 100`},
+		"link_mbps":      {`"link_mbps": 12.5`, `"link_mbps": -1`},
 		"retention_s":    {`"retention_s": 120`, `"retention_s": 0`},
 	}
 	for name, c := range cases {
--- a/internal/program/scheduler.go
+++ b/internal/program/scheduler.go
@@ -111,7 +111,7 @@
 	}
 	p.applySettings(s)
 	n, err := node.Start(node.Config{
-		Host: s.Host, Peer: s.Peer, Network: peer.TCP, Logger: logger, Metrics: registry, Clock: bootclock.Now,
+		Host: s.Host, Peer: s.Peer, Network: peer.TCP, LinkMbps: s.LinkMbps, Logger: logger, Metrics: registry, Clock: bootclock.Now,
 		Bounds: schedulerBounds(s), Retention: settings.Seconds(s.Bounds.RetentionSeconds), AppendBytes: s.Bounds.AppendBytes,
 		Store: store, Workers: platform.NewWorkers(client), Advisor: advisor,
 		Machines: machines, MachineLease: settings.Milliseconds(s.Bounds.MachineLeaseMS),
@@ -187,8 +187,8 @@
 	}
 }
 
-// reloadSettings applies changed settings. The host's name and its own addresses remain
-// those of the start.
+// reloadSettings applies changed settings. The host's name, its own addresses and the
+// bandwidth of its link remain those of the start.
 func (p *schedulerProcess) reloadSettings(s settings.Scheduler) {
 	p.applySettings(s)
 	p.node.SetBounds(schedulerBounds(s))
