--- a/internal/experiment/day/command.go
+++ b/internal/experiment/day/command.go
@@ -108,6 +108,7 @@
 		low, high float64
 	}{
 		{"hosts", float64(p.Hosts), 1, maxHosts},
+		{"narrow_hosts", float64(p.NarrowHosts), 0, float64(p.Hosts)},
 		{"workers", float64(p.Workers), 1, maxWorkers},
 		{"seconds", float64(p.Seconds), 1, maxSeconds},
 		{"quiet_seconds", float64(p.QuietSeconds), 1, maxSeconds},
--- a/internal/experiment/day/day.go
+++ b/internal/experiment/day/day.go
@@ -20,6 +20,9 @@
 type Plan struct {
 	Hosts   int `json:"hosts"`
 	Workers int `json:"workers"`
+	// NarrowHosts is the number of hosts, counted from the first one, whose network
+	// link is too narrow for a preferred owner of the shard.
+	NarrowHosts int `json:"narrow_hosts,omitempty"`
 	// Seconds is how long callers submit jobs, QuietSeconds the time after that in
 	// which all jobs must end.
 	Seconds       int     `json:"seconds"`
@@ -61,6 +64,7 @@
 	duration := time.Duration(p.Seconds) * time.Second
 	faults := append(slices.Clone(p.Faults), DrawFaults(random, p.RandomFaults, p.Hosts, p.Workers, duration)...)
 	sim := newSimulation(p.Hosts, p.Workers, logger)
+	sim.narrowHosts = p.NarrowHosts
 	for _, h := range sim.hosts {
 		if err := h.start(); err != nil {
 			return Report{}, err
--- a/internal/experiment/day/day_test.go
+++ b/internal/experiment/day/day_test.go
@@ -92,3 +92,17 @@
 		})
 	}
 }
+
+// TestRandomFaultsNarrowHosts guards against guarantees that are violated while narrow
+// hosts hand the shard to wide ones and take it over from them, or own it alone.
+func TestRandomFaultsNarrowHosts(t *testing.T) {
+	for i := range *days {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runDay(t, Plan{
+				Hosts: 4, NarrowHosts: 2 + i%3, Workers: 12, Seconds: 20, QuietSeconds: 45, JobsPerSecond: 4,
+				RandomFaults: 4 + i%6, Seed: seed,
+			})
+		})
+	}
+}
--- a/internal/experiment/day/simulation.go
+++ b/internal/experiment/day/simulation.go
@@ -28,6 +28,10 @@
 	queueName      queue.Name           = "digest"
 	workersPerRack                      = 4
 	peerPort                            = 7720
+	// wideLinkMbps and narrowLinkMbps are the bandwidths of the hosts' links in
+	// megabit/s; only the first one carries the orders of an owner.
+	wideLinkMbps   = 200
+	narrowLinkMbps = 10
 )
 
 var bounds = scheduler.Bounds{
@@ -50,7 +54,9 @@
 	network   *memnet.Network
 	hosts     []*host
 	workers   []platform.WorkerID
-	config    *queue.Config
+	// narrowHosts is the number of hosts with a narrow link, the first ones.
+	narrowHosts int
+	config      *queue.Config
 	// waves is the number of upkeep waves declared so far.
 	waves atomic.Int64
 }
@@ -104,9 +110,13 @@
 // start starts the program on the host.
 func (h *host) start() error {
 	h.link = &link{sim: h.sim, host: h, killed: make(chan struct{})}
+	linkMbps := float64(wideLinkMbps)
+	if h.index < h.sim.narrowHosts {
+		linkMbps = narrowLinkMbps
+	}
 	n, err := node.Start(node.Config{
 		Host: platform.HostID(fmt.Sprintf("host-%d", h.index)), Peer: netip.AddrPortFrom(h.ip, peerPort),
-		Network: h.sim.network.Host(h.ip), Logger: h.sim.logger, Metrics: metrics.NewRegistry(),
+		Network: h.sim.network.Host(h.ip), LinkMbps: linkMbps, Logger: h.sim.logger, Metrics: metrics.NewRegistry(),
 		Clock: h.sim.now, Bounds: bounds, Retention: retention, AppendBytes: memstore.MaxAppendBytes, Store: h.view, Workers: h.link,
 		Machines: h.link, MachineLease: machineLease, Waves: func() fleet.Waves { return &waves{host: h} },
 		Registry:     func() fleet.Registry { return &registry{host: h} },
