--- a/internal/experiment/day/simulation.go
+++ b/internal/experiment/day/simulation.go
@@ -28,6 +28,10 @@
 	queueName      queue.Name           = "digest"
 	workersPerRack                      = 4
 	peerPort                            = 7720
+	// wideLinkMbps and narrowLinkMbps are the bandwidths of the hosts' links in
+	// megabit/s; only the first one carries the orders of an owner.
+	wideLinkMbps   = 200
+	narrowLinkMbps = 10
 )
 
 var bounds = scheduler.Bounds{
@@ -51,6 +55,8 @@
 	hosts     []*host
 	workers   []platform.WorkerID
 	config    *queue.Config
+	// narrowHosts is the number of hosts with a narrow link, the first ones.
+	narrowHosts int
 	// linkBytesPerSecond is the bandwidth of each host's link to the workers in each
 	// direction, or zero for no limit.
 	linkBytesPerSecond float64
@@ -111,9 +117,13 @@
 	if h.sim.linkBytesPerSecond > 0 {
 		workers = newNarrowLink(h.link, h.sim.linkBytesPerSecond)
 	}
+	linkMbps := float64(wideLinkMbps)
+	if h.index < h.sim.narrowHosts {
+		linkMbps = narrowLinkMbps
+	}
 	n, err := node.Start(node.Config{
 		Host: platform.HostID(fmt.Sprintf("host-%d", h.index)), Peer: netip.AddrPortFrom(h.ip, peerPort),
-		Network: h.sim.network.Host(h.ip), Logger: h.sim.logger, Metrics: metrics.NewRegistry(),
+		Network: h.sim.network.Host(h.ip), LinkMbps: linkMbps, Logger: h.sim.logger, Metrics: metrics.NewRegistry(),
 		Clock: h.sim.now, Bounds: bounds, Retention: retention, AppendBytes: memstore.MaxAppendBytes, Store: h.view, Workers: workers,
 		Machines: h.link, MachineLease: machineLease, Waves: func() fleet.Waves { return &waves{host: h} },
 		Registry:     func() fleet.Registry { return &registry{host: h} },
