--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -82,13 +82,12 @@
 func TestJobReadLateMayRunElsewhere(t *testing.T) {
 	starts := func(confirmationAge time.Duration) int {
 		now := time.Minute
-		d, err := New(Config{
+		d := New(Config{
 			Ownership: job.Ownership{Epoch: 2, Claim: 2}, Bounds: scheduler.Bounds{MaxLease: 10 * time.Second},
 			Predecessors:    []scheduler.Predecessor{{Claim: 1, ReplacedAt: now}},
 			Clock:           func() time.Duration { return now },
 			ConfirmationAge: func() time.Duration { return confirmationAge },
 		})
-		must.NoError(t, err)
 		defer d.Abort()
 		unreached := job.Enrollment{Worker: "unreached", Addr: "127.0.0.8:80", Service: "s", Claim: 1, Run: 1}
 		must.NoError(t, d.shard.Enroll(unreached))
@@ -96,7 +95,7 @@
 		now += 2 * time.Second
 		entry := addStartableWorker(d)
 		d.AddJobs([]job.Entry{entry})
-		return len(d.shard.Plan(now, 0).Starts)
+		return len(d.shard.Plan(now, 0, 1000).Starts)
 	}
 	must.Eq(t, 1, starts(100*time.Millisecond), must.Sprint("the log was read until shortly before"))
 	must.Zero(t, starts(1900*time.Millisecond), must.Sprint("the log was not read since the takeover"))
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -107,10 +107,10 @@
 	h := newHarness(t, 1)
 	h.run(500 * time.Millisecond)
 	id := h.submit(firstID, fixedLength(100), nil, batchStep(1))
-	starts := h.shard.Plan(h.now, h.now.Milliseconds()).Starts
+	starts := h.shard.Plan(h.now, h.now.Milliseconds(), 1000).Starts
 	must.Len(t, 1, starts)
 	h.shard.StartAnswered(h.now, starts[0], fleet.Answer{}, platform.ErrOutcomeUnknown)
-	must.Len(t, 1, h.shard.Plan(h.now, h.now.Milliseconds()).Starts)
+	must.Len(t, 1, h.shard.Plan(h.now, h.now.Milliseconds(), 1000).Starts)
 	h.shard.StartAnswered(h.now, starts[0], fleet.Answer{}, platform.ErrOutcomeUnknown)
 	h.shard.CancelJob(h.now, id)
 	h.plan()
