Ignore the clock of a worker's earlier run

A worker that had just restarted ran tasks on for up to 10 s without its owner, which took their leases to last 5 s and started the tasks elsewhere.

The answer to an order could arrive after the lists of the worker's new run. Its clock reading, taken by the old run, was higher than the new run's readings and so replaced them: lease ends were then too late by the time that the old run had lasted, up to the longest lease that workers grant.

Actions now name the run that the shard knew when it issued the order. A reading is used only if that is still the worker's run: an order issued for a known run cannot be answered by an earlier one. The registry entry's start time is not used, since an enrolled worker may have no entry.

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -40,7 +40,7 @@
 		return StartAction{}, false
 	}
 	a.orderedAt, a.startSent = now, true
-	action.Worker = a.worker.info
+	action.Worker, action.Run = a.worker.info, a.worker.run
 	action.Order.LeaseEnd = a.worker.clock.extendLease(now, s.leaseLength())
 	return action, true
 }
@@ -57,7 +57,7 @@
 	case err != nil:
 		s.handleRefusedStart(now, a, false)
 	case answer.Verdict == fleet.Accepted:
-		a.worker.clock.update(now, answer.Clock)
+		a.worker.updateClock(now, action.Run, answer.Clock)
 		if a.phase == starting {
 			a.phase, a.confirmedAt, a.startedAt = running, now, now
 			s.notes.Started = append(s.notes.Started, StartedNote{
@@ -70,7 +70,7 @@
 	case a.startUncertain:
 		s.stopAttempt(now, a, reasonUnanswered)
 	default:
-		a.worker.clock.update(now, answer.Clock)
+		a.worker.updateClock(now, action.Run, answer.Clock)
 		if answer.Verdict == fleet.RefusedTicket {
 			a.task.step.discardTicket(a.worker)
 		}
@@ -187,8 +187,8 @@
 func (s *Shard) issueStop(w *workerState, ref job.TaskRef, number platform.Attempt) {
 	s.stopsInFlight[stopKey{w.info.ID, ref, number}]++
 	s.pending.Stops = append(s.pending.Stops, StopAction{
-		Worker: w.info,
-		Order:  fleet.StopOrder{Task: ref, Attempt: number, Token: s.epoch},
+		Worker: w.info, Run: w.run,
+		Order: fleet.StopOrder{Task: ref, Attempt: number, Token: s.epoch},
 	})
 }
 
@@ -203,7 +203,7 @@
 	if !ok || err != nil || answer.Verdict != fleet.Accepted {
 		return
 	}
-	worker.clock.update(now, answer.Clock)
+	worker.updateClock(now, action.Run, answer.Clock)
 	if start, ok := worker.unansweredStarts[action.Order.Task]; ok && start.number <= action.Order.Attempt {
 		delete(worker.unansweredStarts, action.Order.Task)
 	}
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/fleet"
+	"github.com/siskinvane/siskinvane/internal/scheduler"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
@@ -125,3 +126,57 @@
 	h.run(2*bounds.StopGrace + 500*time.Millisecond)
 	must.Zero(t, h.cluster.Running(id))
 }
+
+// TestLateAnswerOfOldRunSetsNoClock: the answer of a worker's old run arrived after the
+// lists of the new run and set the clock of the new one, whose leases then lasted longer
+// than the owner took them to last.
+func TestLateAnswerOfOldRunSetsNoClock(t *testing.T) {
+	orders := map[string]func(t *testing.T, h *harness, id job.ID) (answer func()){
+		"start": func(_ *testing.T, h *harness, _ job.ID) func() {
+			start := h.beginOnlyStart()
+			reply, _ := h.cluster.Start(h.now, "w00", start.Order)
+			return func() { h.shard.StartAnswered(h.now, start, reply, nil) }
+		},
+		"refused start": func(_ *testing.T, h *harness, _ job.ID) func() {
+			start := h.beginOnlyStart()
+			reply, _ := h.cluster.Start(h.now, "w00", start.Order)
+			reply.Verdict = fleet.RefusedCapacity
+			return func() { h.shard.StartAnswered(h.now, start, reply, nil) }
+		},
+		"stop": func(t *testing.T, h *harness, id job.ID) func() {
+			h.plan()
+			h.shard.CancelJob(h.now, id)
+			stops := h.shard.Plan(h.now, h.now.Milliseconds(), unlimitedStarts).Stops
+			must.Len(t, 1, stops)
+			reply, _ := h.cluster.Stop(h.now, "w00", stops[0].Order)
+			return func() { h.shard.StopAnswered(h.now, stops[0], reply, nil) }
+		},
+	}
+	for name, send := range orders {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.run(5 * time.Second)
+			answer := send(t, h, h.submit(firstID, fixedLength(100), nil, batchStep(1)))
+			h.cluster.Crash("w00")
+			h.cluster.Boot(h.now, "w00")
+			h.now += 100 * time.Millisecond
+			h.renewLeases("w00")
+			answer()
+			h.run(500 * time.Millisecond)
+			_, order, _ := h.shard.RenewOrder(h.now, "w00")
+			reply, _ := h.cluster.Renew(h.now, "w00", fleet.RenewOrder{Token: 1})
+			must.Positive(t, order.LeaseEnd)
+			must.Between(t, 4*time.Second, time.Duration(order.LeaseEnd-reply.Clock), 6*time.Second)
+		})
+	}
+}
+
+// beginOnlyStart plans and returns the order to start the only task that waits.
+func (h *harness) beginOnlyStart() scheduler.StartAction {
+	h.t.Helper()
+	starts := h.shard.Plan(h.now, h.now.Milliseconds(), unlimitedStarts).Starts
+	must.Len(h.t, 1, starts)
+	start, wanted := h.shard.BeginStart(h.now, starts[0])
+	must.True(h.t, wanted)
+	return start
+}
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -120,13 +120,17 @@
 // sent.
 type StartAction struct {
 	Worker fleet.Worker
-	Order  fleet.StartOrder
+	// Run is the worker's run when BeginStart returned the order.
+	Run   int64
+	Order fleet.StartOrder
 }
 
 // StopAction is an order to stop an attempt.
 type StopAction struct {
 	Worker fleet.Worker
-	Order  fleet.StopOrder
+	// Run is the worker's run when the order was issued.
+	Run   int64
+	Order fleet.StopOrder
 }
 
 // ThrottleAction is an order to change the CPU limit of an attempt.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -360,6 +360,15 @@
 	c.readAt, c.reading, c.known = at, reading, true
 }
 
+// updateClock applies a clock reading from the answer to an order that was issued for
+// the given run. An answer of an earlier run may arrive late, and the clock of each run
+// starts anew.
+func (w *workerState) updateClock(at Instant, run int64, reading platform.WorkerTime) {
+	if run == w.run {
+		w.clock.update(at, reading)
+	}
+}
+
 // extendLease returns the worker's clock reading at which a lease of the given length
 // from now ends, and tracks it in maxLeaseEnd. The lease never lasts longer than
 // length, since the reading is at least as old as the answer that carried it.
