Do not acknowledge the end of a job that is still to be read

A task that was done ran again after a change of owners.

An earlier owner may accept and start a job shortly before it learns that it was replaced. If an attempt of the job ended before the new owner had read the job, the new owner found no task for the end, did nothing and acknowledged it, so the worker forgot it. The new owner then read the job and started the task again.

The shard now keeps such an end and does not acknowledge it. If the job becomes known, the end is applied; once a later read of the log has reached the end of the log without the job, the job has ended, and the end is acknowledged as before. Ends with higher numbers are applied and recorded meanwhile, and only their acknowledgement waits, since acknowledgements are cumulative. Keeping the end without holding back the acknowledgement would lose it with this owner; holding back alone would delay the later ends, too, or lose the end if the worker restarts.

--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -100,3 +100,31 @@
 	must.Eq(t, 1, starts(100*time.Millisecond), must.Sprint("the log was read until shortly before"))
 	must.Zero(t, starts(1900*time.Millisecond), must.Sprint("the log was not read since the takeover"))
 }
+
+// TestEndOfUnreadJobWaitsForRead guards against a task that runs twice because the owner
+// acknowledged its end before it had read the job: only a later read of the log shows
+// whether the job is still to come.
+func TestEndOfUnreadJobWaitsForRead(t *testing.T) {
+	now, age := time.Minute, time.Duration(0)
+	d := New(Config{
+		Ownership: job.Ownership{Epoch: 1, Claim: 1}, Bounds: scheduler.Bounds{MaxLease: 10 * time.Second},
+		Clock:           func() time.Duration { return now },
+		ConfirmationAge: func() time.Duration { return age },
+	})
+	defer d.Abort()
+	entry := addStartableWorker(d)
+	d.shard.RenewAnswered(now, now, "w", fleet.RenewReply{
+		Verdict: fleet.Accepted, Clock: platform.WorkerTime(time.Second), Started: 1,
+		Ended: []fleet.Ended{{Number: 1, Task: job.TaskRef{Job: entry.ID}, Attempt: 1, Kind: fleet.EndDone}},
+	})
+	acknowledged := func() uint64 {
+		r, ok := d.nextRenewal("w")
+		must.True(t, ok)
+		r.release()
+		return r.order.Acknowledged
+	}
+	now, age = now+time.Second, 1100*time.Millisecond
+	must.Zero(t, acknowledged(), must.Sprint("the log was last read before the end was listed"))
+	age = 900 * time.Millisecond
+	must.Eq(t, 1, acknowledged(), must.Sprint("the log was read since then"))
+}
--- a/internal/process/dispatch/renew.go
+++ b/internal/process/dispatch/renew.go
@@ -91,6 +91,7 @@
 		d.mu.Lock()
 		if held || !d.shard.RenewsAtOnce(id) {
 			r.sent = d.Clock()
+			d.shard.LogRead(r.sent - d.ConfirmationAge())
 			ok := false
 			if r.worker, r.order, ok = d.shard.RenewOrder(r.sent, id); !ok {
 				delete(d.renewing, id)
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -45,7 +45,9 @@
 	unregistered map[platform.WorkerID]bool
 	// recordingPaused suspends recording, as during an outage of the store.
 	recordingPaused bool
-	throttleOrders  []scheduler.ThrottleAction
+	// readingPaused suspends the reading of the log.
+	readingPaused  bool
+	throttleOrders []scheduler.ThrottleAction
 	// maxStarts is the number of start orders per plan.
 	maxStarts int
 }
@@ -146,6 +148,9 @@
 func (h *harness) tick() {
 	h.now += tickInterval
 	h.cluster.Advance(h.now)
+	if !h.readingPaused {
+		h.shard.LogRead(h.now)
+	}
 	for i := range 64 {
 		h.renewLeases(platform.WorkerID(fmt.Sprintf("w%02d", i)))
 	}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -129,6 +129,7 @@
 	if e.Cancelled {
 		s.CancelJob(now, e.ID)
 	}
+	s.applyHeldEnds(now, j)
 }
 
 // addOccurrence creates the next occurrence of a job.
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -88,7 +88,7 @@
 	return relaxedRenewPause
 }
 
-// Unacknowledged reports whether a worker has ends that are not recorded yet. While
+// Unacknowledged reports whether a worker has ends that cannot be acknowledged yet. While
 // there are any it answers renew orders immediately.
 func (s *Shard) Unacknowledged(id platform.WorkerID) bool {
 	w, ok := s.workers[id]
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -74,6 +74,10 @@
 	if a != nil {
 		s.untrackAttempt(now, a)
 	}
+	if _, known := s.jobs[e.Task.Job]; !known {
+		s.heldEnds = append(s.heldEnds, heldEnd{Ended: e, listedAt: now, pending: w.ended.add(e.Number, notRecordable)})
+		return
+	}
 	if t != nil {
 		s.applyEndToTask(now, t, e)
 		s.rescheduleTask(now, t)
@@ -82,6 +86,45 @@
 	s.journal.urgent = s.journal.urgent || s.journal.lastChange > s.journal.lastRecorded
 }
 
+// heldEnd is a listed end of an attempt whose job the shard does not have. Either the job
+// has ended, or an earlier owner has started it and this owner has yet to read it. The
+// end is not acknowledged meanwhile, so that a later owner gets it too, but later ends of
+// the worker are applied. A worker lists a limited number of unacknowledged ends.
+type heldEnd struct {
+	fleet.Ended
+	// listedAt is when the worker listed the end. The job was in the log by then.
+	listedAt Instant
+	pending  *pendingEnd
+}
+
+// applyHeldEnds applies the ends that were listed before their job was known.
+func (s *Shard) applyHeldEnds(now Instant, j *jobState) {
+	s.heldEnds = slices.DeleteFunc(s.heldEnds, func(h heldEnd) bool {
+		if h.Task.Job != j.id {
+			return false
+		}
+		if t := s.findTask(now, h.Task); t != nil {
+			s.applyEndToTask(now, t, h.Ended)
+			s.rescheduleTask(now, t)
+		}
+		h.pending.change = s.journal.lastChange
+		s.journal.urgent = s.journal.urgent || s.journal.lastChange > s.journal.lastRecorded
+		return true
+	})
+}
+
+// LogRead records that the shard was given every job that was in the log at the time
+// through and has not ended.
+func (s *Shard) LogRead(through Instant) {
+	s.heldEnds = slices.DeleteFunc(s.heldEnds, func(h heldEnd) bool {
+		if h.listedAt > through {
+			return false
+		}
+		h.pending.change = s.journal.lastChange
+		return true
+	})
+}
+
 // updateWorkerHealth updates the worker's health after an attempt ended. A failure
 // counts only if the task has not failed before: a task that also failed elsewhere says
 // nothing about this worker.
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -75,6 +75,8 @@
 	headroom    *headroom.Model
 	lengths     *length.Model
 
+	// heldEnds are the ends of attempts of jobs that the shard does not have.
+	heldEnds []heldEnd
 	// stopsInFlight counts the stop orders that were issued and have no outcome yet.
 	stopsInFlight map[stopKey]int
 	// openAdviceRequests counts the requests to the advice service that are in flight.
--- a/internal/scheduler/shard_test.go
+++ b/internal/scheduler/shard_test.go
@@ -9,7 +9,10 @@
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
-const firstID = "00000000000000a1"
+const (
+	firstID  = "00000000000000a1"
+	secondID = "00000000000000a2"
+)
 
 func dependsOn(steps ...int) func(job.Step) job.Step {
 	return func(s job.Step) job.Step { s.DependsOn = steps; return s }
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -201,3 +201,72 @@
 	h.run(time.Second)
 	must.True(t, h.shard.HasQuorum(h.now))
 }
+
+// TestEndOfUnreadJobIsNotLost: an attempt had ended before the new owner read its job. The
+// end was acknowledged without effect, and the task was started again.
+func TestEndOfUnreadJobIsNotLost(t *testing.T) {
+	cases := map[string]func(h *harness){
+		"known later":                     func(*harness) {},
+		"worker restarts before":          func(h *harness) { h.cluster.Crash("w00"); h.cluster.Boot(h.now, "w00"); h.run(100 * time.Millisecond) },
+		"another owner before":            func(h *harness) { h.takeOver(false); h.run(100 * time.Millisecond) },
+		"worker has later ends meanwhile": func(h *harness) { h.runOtherJob() },
+	}
+	for name, happen := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.run(500 * time.Millisecond)
+			late := h.submitUnread(firstID)
+			h.run(200 * time.Millisecond)
+			happen(h)
+			starts := h.cluster.Starts()
+			h.entries[late.ID] = &late
+			h.shard.AddJob(h.now, late)
+			h.readingPaused = false
+			h.run(3 * time.Second)
+			h.checkViolations()
+			must.Eq(t, job.Done, h.state(late.ID))
+			must.Eq(t, starts, h.cluster.Starts())
+		})
+	}
+}
+
+// submitUnread runs a job of one task whose attempt has ended when another owner takes
+// over, which does not read the job, and returns the job's entry.
+func (h *harness) submitUnread(id string) job.Entry {
+	jobID := h.submit(id, fixedLength(0.1), nil, batchStep(1))
+	h.plan()
+	h.now += 200 * time.Millisecond
+	h.cluster.Advance(h.now)
+	late := *h.entries[jobID]
+	delete(h.entries, jobID)
+	h.readingPaused = true
+	h.takeOver(false)
+	return late
+}
+
+// runOtherJob runs a job of one task to its end.
+func (h *harness) runOtherJob() {
+	id := h.submit(secondID, fixedLength(0.1), nil, batchStep(1))
+	h.run(time.Second)
+	must.Eq(h.t, job.Done, h.state(id), must.Sprint("a held end delays no other"))
+}
+
+// TestEndOfUnreadJobIsAcknowledgedAfterRead: an end whose job is over for good must not
+// keep the worker's later ends from being acknowledged.
+func TestEndOfUnreadJobIsAcknowledgedAfterRead(t *testing.T) {
+	h := newHarness(t, 1)
+	h.run(500 * time.Millisecond)
+	h.submitUnread(firstID)
+	h.run(500 * time.Millisecond)
+	h.runOtherJob()
+	acknowledged := func() uint64 {
+		_, order, _ := h.shard.RenewOrder(h.now, "w00")
+		return order.Acknowledged
+	}
+	must.Zero(t, acknowledged())
+	must.True(t, h.shard.Unacknowledged("w00"))
+	h.readingPaused = false
+	h.run(2 * tickInterval)
+	must.Eq(t, 2, acknowledged())
+	must.False(t, h.shard.Unacknowledged("w00"))
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -305,7 +306,7 @@
 	// in the log.
 	applied  uint64
 	recorded uint64
-	pending  []pendingEnd
+	pending  []*pendingEnd
 }
 
 // pendingEnd says that the ends up to endNumber are recorded once the journal's change
@@ -315,9 +316,14 @@
 	change    uint64
 }
 
-func (l *endedLog) add(number, change uint64) {
+// notRecordable is the change number of ends that must not be acknowledged.
+const notRecordable = math.MaxUint64
+
+func (l *endedLog) add(number, change uint64) *pendingEnd {
+	p := &pendingEnd{number, change}
 	l.applied = number
-	l.pending = append(l.pending, pendingEnd{number, change})
+	l.pending = append(l.pending, p)
+	return p
 }
 
 // acknowledgeable returns the highest end number whose change was recorded.
