Apply a caller's record once its own append is done

The tasks of a job ran on for seconds after its cancellation was acknowledged.

A batch may need several appends. The owner applied none of its records before the last append was done, although callers had their answer after the first. If a later append failed or was retried, a cancellation took effect only with the next read of the log, which a store in trouble may also delay.

Records are now applied after the append that contains them, as they would be if the log was read then. The shard's progress still counts as recorded only once all of it is.

TestWrittenRecordTakesEffectWithoutLaterAppends failed before.

--- a/internal/process/dispatch/record.go
+++ b/internal/process/dispatch/record.go
@@ -154,14 +154,20 @@
 	for _, pending := range b.writes {
 		pending.done <- err
 	}
+	if err == nil {
+		// The tasks of a job that was cancelled must stop even if a later append fails.
+		d.OnRecorded(b.records[:n])
+	}
 	for rest := b.records[n:]; err == nil && len(rest) > 0; rest = rest[n:] {
 		n = store.Fitting(rest, d.AppendBytes)
-		err = d.appendRecords(w, rest[:n])
+		if err = d.appendRecords(w, rest[:n]); err == nil {
+			d.OnRecorded(rest[:n])
+		}
 	}
 	switch {
 	case err == nil:
 		d.timer("job.recorded").Update(d.Clock() - started)
-		d.notifyRecorded(b)
+		d.markRecorded(b.progress)
 	case errors.Is(err, store.ErrUnavailable):
 		d.mu.Lock()
 		d.shard.ReturnUnrecorded(b.progress)
@@ -249,12 +255,10 @@
 	}
 }
 
-// notifyRecorded notifies the node, the shard and waiting callers that the batch is in
-// the log.
-func (d *Dispatcher) notifyRecorded(b batch) {
-	d.OnRecorded(b.records)
+// markRecorded notifies the shard and waiting callers that progress is in the log.
+func (d *Dispatcher) markRecorded(progress scheduler.Unrecorded) {
 	d.mu.Lock()
-	d.shard.MarkRecorded(b.progress)
+	d.shard.MarkRecorded(progress)
 	close(d.recorded)
 	d.recorded = make(chan struct{})
 	d.mu.Unlock()
--- a/internal/process/dispatch/write_test.go
+++ b/internal/process/dispatch/write_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"os"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -26,16 +27,18 @@
 }
 
 // faultyStore is a store whose appends fail while unavailable is set, or end without a
-// known outcome while unresponsive is set.
+// known outcome while unresponsive is set. Appends that contain refusedKey always fail.
 type faultyStore struct {
 	store.Store
 	unavailable, unresponsive atomic.Bool
+	refusedKey                string
 }
 
 // Append implements store.Store.
-func (s *faultyStore) Append(ctx context.Context, _ store.Partition, _ []store.Record, _ *store.Writer) (platform.Offset, error) {
+func (s *faultyStore) Append(ctx context.Context, _ store.Partition, records []store.Record, _ *store.Writer) (platform.Offset, error) {
+	refused := slices.ContainsFunc(records, func(r store.Record) bool { return r.Key == s.refusedKey })
 	switch {
-	case s.unavailable.Load():
+	case s.unavailable.Load() || refused:
 		return 0, store.ErrUnavailable
 	case s.unresponsive.Load():
 		select {
@@ -49,18 +52,27 @@
 
 // withDispatcher calls f with a running dispatcher on s, in virtual time.
 func withDispatcher(t *testing.T, s *faultyStore, f func(d *Dispatcher)) {
+	t.Helper()
+	withConfiguredDispatcher(t, s, func(*Config) {}, f)
+}
+
+// withConfiguredDispatcher is withDispatcher with a change to the configuration.
+func withConfiguredDispatcher(t *testing.T, s *faultyStore, change func(*Config), f func(d *Dispatcher)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		logger := logrus.New()
 		logger.SetOutput(io.Discard)
 		started := time.Now()
-		d := New(Config{
+		c := Config{
 			Store: s, Ownership: job.Ownership{Epoch: 1, Claim: 1}, Logger: logger, Metrics: metrics.NewRegistry(),
 			AppendBytes: 1 << 20, Bounds: scheduler.Bounds{MaxLease: 10 * time.Second},
 			Clock:           func() time.Duration { return time.Since(started) },
 			ConfirmationAge: func() time.Duration { return 0 },
 			OnRecorded:      func([]store.Record) {},
 			ExpiredJobs:     func(int) []job.ID { return nil },
-		})
+		}
+		change(&c)
+		d := New(c)
 		d.Start()
 		f(d)
 		d.Abort()
@@ -114,3 +126,26 @@
 		must.ErrorIs(t, <-first, platform.ErrOutcomeUnknown)
 	})
 }
+
+// TestWrittenRecordTakesEffectWithoutLaterAppends: a caller's cancellation was in the log,
+// but its tasks ran on while the store refused a later append of the same batch.
+func TestWrittenRecordTakesEffectWithoutLaterAppends(t *testing.T) {
+	var recorded atomic.Bool
+	var writeErr error
+	inTime := false
+	change := func(c *Config) {
+		c.AppendBytes = 1
+		c.OnRecorded = func(records []store.Record) {
+			recorded.Store(recorded.Load() || records[0].Key == "k")
+		}
+	}
+	s := &faultyStore{refusedKey: job.LearnedModelsRecord(nil).Key}
+	withConfiguredDispatcher(t, s, change, func(d *Dispatcher) {
+		time.Sleep(learnedRecordPeriod)
+		_, writeErr = d.timedWrite(time.Second)
+		time.Sleep(time.Millisecond)
+		inTime = recorded.Load()
+	})
+	must.NoError(t, writeErr)
+	must.True(t, inTime)
+}
