Stop an unanswered start in each run of its worker

The task of a cancelled job ran, or a task ran twice, on a worker that had restarted up to 13 s after a start order to it had got no answer.

A start order may be carried out 12 s late, by a run of the worker that knows nothing of the order to stop the attempt. The owner therefore orders a new run to stop the attempts of unanswered starts. It did so only once, also if the order was lost, and not at all if the old run had accepted a stop order.

Such a start is now remembered until it cannot be carried out any more, and the order to stop it is repeated until the present run has accepted it. An acceptance counts only for the run that the order was issued for, which also goes for the attempt's state.

TestUnansweredStartIsStoppedInEachRun (three cases) and TestLostStopOfUnansweredStartIsRepeated failed before: the late start order was accepted.

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -200,12 +200,13 @@
 		delete(s.stopsInFlight, key)
 	}
 	worker, ok := s.workers[action.Worker.ID]
-	if !ok || err != nil || answer.Verdict != fleet.Accepted {
+	if !ok || err != nil || answer.Verdict != fleet.Accepted || action.Run != worker.run {
+		// A new run does not know of the orders that an earlier one accepted.
 		return
 	}
-	worker.updateClock(now, action.Run, answer.Clock)
-	if start, ok := worker.unansweredStarts[action.Order.Task]; ok && start.number <= action.Order.Attempt {
-		delete(worker.unansweredStarts, action.Order.Task)
+	worker.clock.update(now, answer.Clock)
+	if start := worker.unansweredStarts[action.Order.Task]; start != nil && start.number <= action.Order.Attempt {
+		start.stopDue = false
 	}
 	a := worker.attempts[action.Order.Task]
 	if a != nil && a.number == action.Order.Attempt && a.phase == stopping {
@@ -223,11 +224,18 @@
 			s.issueStop(w, a.ref, a.number)
 		}
 	}
+	for ref, start := range w.unansweredStarts {
+		inFlight := s.stopsInFlight[stopKey{w.info.ID, ref, start.number}] > 0
+		if start.stopDue && !inFlight && now >= start.stopOrderedAt+stopRepeatInterval {
+			start.stopOrderedAt = now
+			s.issueStop(w, ref, start.number)
+		}
+	}
 }
 
 // addUnansweredStart records that a start order may still be carried out.
 func (w *workerState) addUnansweredStart(now Instant, a *attempt) {
-	w.unansweredStarts[a.ref] = unansweredStart{number: a.number, expiresAt: now + maxOrderDelay}
+	w.unansweredStarts[a.ref] = &unansweredStart{number: a.number, expiresAt: now + maxOrderDelay}
 }
 
 // expireUnansweredStarts drops the start orders that cannot be carried out any more.
@@ -239,8 +247,13 @@
 	}
 }
 
-// unansweredStart is a start order that got no answer.
+// unansweredStart is a start order that got no answer. An accepted stop order does not
+// end it, since the next run of the worker would not know of that order.
 type unansweredStart struct {
 	number    platform.Attempt
 	expiresAt Instant
+	// stopDue is set while the worker's run has yet to accept an order to stop the
+	// attempt, which was last issued at stopOrderedAt.
+	stopDue       bool
+	stopOrderedAt Instant
 }
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -180,3 +180,84 @@
 	must.True(h.t, wanted)
 	return start
 }
+
+// TestUnansweredStartIsStoppedInEachRun: a start order that got no answer reached a later
+// run of its worker. The order to stop the attempt had been accepted by an earlier run
+// only, and the task of a cancelled job ran.
+func TestUnansweredStartIsStoppedInEachRun(t *testing.T) {
+	cases := map[string]func(h *harness){
+		"accepted by the old run": func(h *harness) {
+			h.plan()
+			h.restartWorker()
+		},
+		"accepted late by the old run": func(h *harness) {
+			stops := h.shard.Plan(h.now, h.now.Milliseconds(), unlimitedStarts).Stops
+			must.Len(h.t, 1, stops)
+			h.restartWorker()
+			h.loseStops()
+			h.shard.StopAnswered(h.now, stops[0], fleet.Answer{Verdict: fleet.Accepted, Clock: platform.WorkerTime(h.now)}, nil)
+		},
+		"accepted by two runs": func(h *harness) {
+			h.plan()
+			h.restartWorker()
+			h.run(time.Second)
+			h.restartWorker()
+		},
+	}
+	for name, happen := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.run(time.Second)
+			id := h.submit(firstID, fixedLength(100), nil, batchStep(1))
+			start := h.beginOnlyStart()
+			h.shard.StartAnswered(h.now, start, fleet.Answer{}, platform.ErrOutcomeUnknown)
+			start = h.beginOnlyStart()
+			h.shard.StartAnswered(h.now, start, fleet.Answer{}, platform.ErrOutcomeUnknown)
+			h.shard.CancelJob(h.now, id)
+			happen(h)
+			h.run(time.Second)
+			answer, answered := h.cluster.Start(h.now, "w00", start.Order)
+			must.True(t, answered)
+			must.Eq(t, fleet.RefusedEnded, answer.Verdict)
+			h.run(time.Second)
+			must.Zero(t, h.cluster.Running(id))
+			must.Zero(t, h.shard.Waiting()[0])
+		})
+	}
+}
+
+// TestLostStopOfUnansweredStartIsRepeated: the order by which a new run should refuse an
+// attempt that the old run had was lost and not repeated. A start order for the attempt
+// that had got no answer reached the new run later, and the task of a cancelled job ran.
+func TestLostStopOfUnansweredStartIsRepeated(t *testing.T) {
+	h := newHarness(t, 1)
+	h.run(time.Second)
+	id := h.submit(firstID, fixedLength(100), nil, batchStep(1))
+	start := h.beginOnlyStart()
+	h.shard.StartAnswered(h.now, start, fleet.Answer{}, platform.ErrOutcomeUnknown)
+	h.run(200 * time.Millisecond)
+	must.Eq(t, 1, h.cluster.Running(id))
+	h.restartWorker()
+	h.shard.CancelJob(h.now, id)
+	h.loseStops()
+	h.run(time.Second)
+	answer, answered := h.cluster.Start(h.now, "w00", start.Order)
+	must.True(t, answered)
+	must.Eq(t, fleet.RefusedEnded, answer.Verdict)
+	must.Zero(t, h.cluster.Running(id))
+}
+
+// restartWorker restarts w00, and the owner reads the lists of its new run.
+func (h *harness) restartWorker() {
+	h.cluster.Crash("w00")
+	h.cluster.Boot(h.now, "w00")
+	h.now += 100 * time.Millisecond
+	h.renewLeases("w00")
+}
+
+// loseStops plans and loses all stop orders.
+func (h *harness) loseStops() {
+	for _, stop := range h.shard.Plan(h.now, h.now.Milliseconds(), unlimitedStarts).Stops {
+		h.shard.StopAnswered(h.now, stop, fleet.Answer{}, platform.ErrOutcomeUnknown)
+	}
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -60,7 +60,7 @@
 	// unansweredStarts are the start orders that got no answer and may still be carried
 	// out. A new run of the worker would accept them, since it has forgotten the later
 	// orders that made the old run refuse them.
-	unansweredStarts map[job.TaskRef]unansweredStart
+	unansweredStarts map[job.TaskRef]*unansweredStart
 }
 
 // phase is the owner's view of an attempt's state.
@@ -139,7 +139,7 @@
 func (s *Shard) workerFor(id platform.WorkerID) *workerState {
 	w, ok := s.workers[id]
 	if !ok {
-		w = &workerState{attempts: map[job.TaskRef]*attempt{}, unansweredStarts: map[job.TaskRef]unansweredStart{}}
+		w = &workerState{attempts: map[job.TaskRef]*attempt{}, unansweredStarts: map[job.TaskRef]*unansweredStart{}}
 		w.clock.earlierLease = s.leaseLength()
 		w.info.ID = id
 		s.workers[id] = w
@@ -209,13 +209,14 @@
 			s.loseAttempt(now, a, "worker restarted")
 		}
 	}
+	w.run = run
 	for ref, start := range w.unansweredStarts {
 		if now < start.expiresAt {
 			// A stop order in flight may be meant for the previous run.
+			start.stopDue, start.stopOrderedAt = true, now
 			s.issueStop(w, ref, start.number)
 		}
 	}
-	w.run = run
 	w.enrolling = false
 	// The lease of an order sent before the restart was counted on the old run's clock.
 	w.clock = workerClock{readAt: now, earlierLease: s.bounds.MaxLease}
