Drop what was deleted while a host was behind the log

A host that had fallen behind by more than the log retains ran jobs again whose records had been deleted, once it became the owner, and waited for leases on workers that had left.

Such a host loads the newest record of each key. Deletions are not among them, so jobs, workers and waves that were deleted meanwhile stayed in its table, in their state of before.

A load now deletes what has no record in it, unless that was applied after the load began: it may be newer than the load, and if it was deleted and read again, an owner might take a job that is over for a new one.

TestReloadDropsWhatWasDeleted failed before.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -85,9 +85,11 @@
 	// caughtUpAt is when the last read that reached the end of the log was sent, in
 	// nanoseconds of Clock.
 	caughtUpAt atomic.Int64
-	// readToken holds a token while reader is in use.
+	// readToken holds a token while reader and unreadSince are in use.
 	readToken chan struct{}
 	reader    *keyed.Reader
+	// unreadSince is when the first read since the last successful one was sent, or zero.
+	unreadSince time.Duration
 
 	// leaving is set once the node stops; from then on it does not take over the shard.
 	leaving atomic.Bool
@@ -222,11 +224,15 @@
 	}
 	for {
 		sent := n.Clock()
+		if n.unreadSince == 0 {
+			n.unreadSince = sent
+		}
 		changes, err := n.reader.Next(ctx, 0)
 		if err != nil {
 			return err
 		}
-		n.applyPage(changes.Page)
+		n.applyChanges(changes, n.unreadSince)
+		n.unreadSince = 0
 		if n.reader.Position() >= changes.End {
 			n.caughtUpAt.Store(int64(sent))
 			return nil
@@ -234,11 +240,19 @@
 	}
 }
 
-// applyPage applies a page of the log to the table and passes changed jobs to the
-// dispatcher if this host owns the shard.
-func (n *Node) applyPage(page store.Page) {
+// applyChanges applies what was read from the log. The read began at the time since.
+func (n *Node) applyChanges(c keyed.Changes, since time.Duration) {
 	n.applying.Lock()
 	defer n.applying.Unlock()
+	if c.All {
+		n.table.DeleteMissing(c.Page, since)
+	}
+	n.applyPage(c.Page)
+}
+
+// applyPage applies a page of the log to the table and passes changed jobs to the
+// dispatcher if this host owns the shard. The caller holds applying.
+func (n *Node) applyPage(page store.Page) {
 	entries, err := n.table.Apply(page, n.Clock())
 	if err != nil {
 		event.RecordUnreadable.Log(n.Logger, logrus.Fields{"error": err})
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -79,5 +79,7 @@
 	for _, r := range records {
 		page.Records = append(page.Records, store.StoredRecord{Record: r})
 	}
+	n.applying.Lock()
+	defer n.applying.Unlock()
 	n.applyPage(page)
 }
--- a/internal/process/node/takeover_test.go
+++ b/internal/process/node/takeover_test.go
@@ -24,7 +24,8 @@
 // when the test calls takeOver. At each reading of the clock meanwhile, another host's
 // records arrive: the submission of a new job and the cancellation of an old one.
 type takeoverFixture struct {
-	node *Node
+	node  *Node
+	store *memstore.Store
 	// arrivals counts the readings at which records arrived; arriving is set during one,
 	// and open while records arrive at all.
 	arrivals       int
@@ -42,11 +43,11 @@
 
 func newTakeoverFixture(t *testing.T) *takeoverFixture {
 	t.Helper()
-	f := &takeoverFixture{}
+	f := &takeoverFixture{store: memstore.New()}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	started := time.Now()
-	view := memstore.New().View("h1")
+	view := f.store.View("h1")
 	n := &Node{
 		Config: Config{
 			Host: "h1", Logger: logger, Metrics: metrics.NewRegistry(), Retention: time.Minute, AppendBytes: memstore.MaxAppendBytes,
@@ -182,3 +183,51 @@
 	d.Abort()
 	n.background.Wait()
 }
+
+// TestReloadDropsWhatWasDeleted: a host fell behind by more than the log retains. It kept
+// jobs that were deleted meanwhile and ran them again as the owner, and it waited for
+// leases on workers that had left.
+func TestReloadDropsWhatWasDeleted(t *testing.T) {
+	f := newTakeoverFixture(t)
+	n := f.node
+	appendRecords := func(records ...store.Record) {
+		_, err := n.Store.Append(n.ctx, n.partition, records, nil)
+		must.NoError(t, err)
+	}
+	enrollment, err := job.EnrollmentRecord(job.Enrollment{Worker: "w0", Addr: "127.1.0.1:80", Service: "s", Claim: 1, Run: 1})
+	must.NoError(t, err)
+	appendRecords(enrollment, submissionRecord(t, newJob(0)), job.CancellationRecord(newJob(0)))
+	must.NoError(t, n.Refresh(n.ctx))
+	must.Len(t, 1, n.table.Workers())
+	appendRecords(append(job.DeletionRecords(newJob(0)), job.UnenrollmentRecord("w0"))...)
+	f.store.Compact(n.partition)
+	must.NoError(t, n.Refresh(n.ctx))
+	must.Len(t, maxArrivals, n.table.All())
+	must.SliceEmpty(t, n.table.Workers())
+	n.cancel()
+}
+
+// TestReloadKeepsWhatIsNewer: a job that was submitted while the host read the newest
+// record of each key may have no record among them.
+func TestReloadKeepsWhatIsNewer(t *testing.T) {
+	f := newTakeoverFixture(t)
+	n := f.node
+	n.Store = &arrivingStore{Store: n.Store, beforeAnswer: func() { n.applyRecords([]store.Record{submissionRecord(t, newJob(0))}) }}
+	n.reader = keyed.NewReader(n.Store, n.partition)
+	must.NoError(t, n.Refresh(n.ctx))
+	must.Len(t, maxArrivals+1, n.table.All())
+	n.cancel()
+}
+
+// arrivingStore calls beforeAnswer before it returns the newest records.
+type arrivingStore struct {
+	store.Store
+	beforeAnswer func()
+}
+
+// Newest implements store.Store.
+func (s *arrivingStore) Newest(ctx context.Context, p store.Partition) (store.Page, error) {
+	page, err := s.Store.Newest(ctx, p)
+	s.beforeAnswer()
+	return page, err
+}
--- a/internal/scheduler/job/table.go
+++ b/internal/scheduler/job/table.go
@@ -46,11 +46,17 @@
 	learnedModels []byte
 	// waves holds the records of maintenance waves by number.
 	waves map[int64][]byte
+	// appliedAt holds when the records of submissions, workers and waves in the table were
+	// last applied, by key.
+	appliedAt map[string]time.Duration
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{jobs: map[ID]*Entry{}, workers: map[platform.WorkerID]Enrollment{}, waves: map[int64][]byte{}}
+	return &Table{
+		jobs: map[ID]*Entry{}, workers: map[platform.WorkerID]Enrollment{}, waves: map[int64][]byte{},
+		appliedAt: map[string]time.Duration{},
+	}
 }
 
 // Apply applies a page of the log and returns the jobs that were submitted or
@@ -74,9 +80,36 @@
 	return changed, firstErr
 }
 
+// DeleteMissing deletes the jobs, workers and waves that have no record in a page of the
+// newest record of each key: their deletion is not among the records that the log still
+// has. Those that were applied at the time since, when the read of the page began, or
+// later may be newer than the page and stay.
+func (t *Table) DeleteMissing(newest store.Page, since time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	present := make(map[string]bool, len(newest.Records))
+	for _, r := range newest.Records {
+		present[r.Key] = true
+	}
+	for key, at := range t.appliedAt {
+		if at < since && !present[key] {
+			// Deletions have no value that might be unreadable.
+			_, _ = t.apply(store.Record{Key: key}, since)
+		}
+	}
+}
+
 func (t *Table) apply(r store.Record, now time.Duration) (*Entry, error) {
 	kind, id := splitKey(r.Key)
 	switch kind {
+	case submissionKey, enrollmentKey, waveKey:
+		if len(r.Value) > 0 {
+			t.appliedAt[r.Key] = now
+		} else {
+			delete(t.appliedAt, r.Key)
+		}
+	}
+	switch kind {
 	case submissionKey:
 		return t.applySubmission(id, r.Value)
 	case progressKey:
