Renew no worker anew before its ends can be acknowledged

A worker with ends that the owner cannot acknowledge yet answers each renewal at once. The owner sent the next one as soon as any progress was recorded, up to every 20 ms on a busy shard, also if the worker's ends were not part of it. Ends of jobs that are still to be read wait for a read of the log, so after a change of owners many workers would be called in this way.

The renewal now waits until the worker's first end can be acknowledged, or for 200 ms, as it did while nothing was recorded.

TestEndsThatWaitAreNotAskedForAgain failed before: the wait took 20 ms. The effect on a deployment was not measured.

--- a/internal/process/dispatch/renew.go
+++ b/internal/process/dispatch/renew.go
@@ -126,20 +126,26 @@
 	}
 }
 
-// awaitEndsRecorded waits until the worker's ended attempts are recorded and can be
-// acknowledged. Until they are acknowledged, the worker answers every renewal
-// immediately.
+// awaitEndsRecorded waits until the first of the worker's ended attempts can be
+// acknowledged, for renewRetryDelay at most. Until they are acknowledged, the worker
+// answers every renewal immediately.
 func (d *Dispatcher) awaitEndsRecorded(id platform.WorkerID) {
-	d.mu.Lock()
-	wait, recorded := d.shard.Unacknowledged(id), d.recorded
-	d.mu.Unlock()
-	if !wait {
-		return
-	}
-	select {
-	case <-d.ctx.Done():
-	case <-recorded:
-	case <-time.After(renewRetryDelay):
+	timeout := time.NewTimer(renewRetryDelay)
+	defer timeout.Stop()
+	for {
+		d.mu.Lock()
+		wait, recorded := d.shard.Unacknowledged(id), d.recorded
+		d.mu.Unlock()
+		if !wait {
+			return
+		}
+		select {
+		case <-recorded:
+		case <-timeout.C:
+			return
+		case <-d.ctx.Done():
+			return
+		}
 	}
 }
 
--- a/internal/process/dispatch/renew_test.go
+++ b/internal/process/dispatch/renew_test.go
@@ -1,10 +1,16 @@
 package dispatch
 
 import (
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/siskinvane/siskinvane/internal/platform"
+	"github.com/siskinvane/siskinvane/internal/platform/fleet"
+	"github.com/siskinvane/siskinvane/internal/scheduler"
+	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
 // TestFirstContactsAreBounded: after a takeover all workers sent their lists at the same
@@ -48,3 +54,36 @@
 		must.Between(t, 9, l.renewals[workerID(0)], 13)
 	})
 }
+
+// TestEndsThatWaitAreNotAskedForAgain: a worker whose ends could not be acknowledged yet
+// was called after each record of other progress, up to fifty times a second.
+func TestEndsThatWaitAreNotAskedForAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		d := New(Config{
+			Ownership: job.Ownership{Epoch: 1, Claim: 1}, Bounds: scheduler.Bounds{MaxLease: 10 * time.Second},
+			Clock:           func() time.Duration { return time.Minute + time.Since(started) },
+			ConfirmationAge: func() time.Duration { return time.Second },
+		})
+		var recording sync.WaitGroup
+		defer recording.Wait()
+		defer d.Abort()
+		unread := addStartableWorker(d)
+		d.shard.RenewAnswered(d.Clock(), d.Clock(), "w", fleet.RenewReply{
+			Verdict: fleet.Accepted, Clock: platform.WorkerTime(time.Second), Started: 1,
+			Ended: []fleet.Ended{{Number: 1, Task: job.TaskRef{Job: unread.ID}, Attempt: 1, Kind: fleet.EndDone}},
+		})
+		recording.Go(func() {
+			for d.ctx.Err() == nil {
+				time.Sleep(minAppendInterval)
+				d.mu.Lock()
+				close(d.recorded)
+				d.recorded = make(chan struct{})
+				d.mu.Unlock()
+			}
+		})
+		waitStarted := time.Now()
+		d.awaitEndsRecorded("w")
+		must.Eq(t, renewRetryDelay, time.Since(waitStarted))
+	})
+}
