--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/fleet"
+	"github.com/siskinvane/siskinvane/internal/scheduler"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
@@ -125,3 +126,138 @@
 	h.run(2*bounds.StopGrace + 500*time.Millisecond)
 	must.Zero(t, h.cluster.Running(id))
 }
+
+// TestLateAnswerOfOldRunSetsNoClock: the answer of a worker's old run arrived after the
+// lists of the new run and set the clock of the new one, whose leases then lasted longer
+// than the owner took them to last.
+func TestLateAnswerOfOldRunSetsNoClock(t *testing.T) {
+	orders := map[string]func(t *testing.T, h *harness, id job.ID) (answer func()){
+		"start": func(_ *testing.T, h *harness, _ job.ID) func() {
+			start := h.beginOnlyStart()
+			reply, _ := h.cluster.Start(h.now, "w00", start.Order)
+			return func() { h.shard.StartAnswered(h.now, start, reply, nil) }
+		},
+		"refused start": func(_ *testing.T, h *harness, _ job.ID) func() {
+			start := h.beginOnlyStart()
+			reply, _ := h.cluster.Start(h.now, "w00", start.Order)
+			reply.Verdict = fleet.RefusedCapacity
+			return func() { h.shard.StartAnswered(h.now, start, reply, nil) }
+		},
+		"stop": func(t *testing.T, h *harness, id job.ID) func() {
+			h.plan()
+			h.shard.CancelJob(h.now, id)
+			stops := h.shard.Plan(h.now, h.now.Milliseconds(), unlimitedStarts).Stops
+			must.Len(t, 1, stops)
+			reply, _ := h.cluster.Stop(h.now, "w00", stops[0].Order)
+			return func() { h.shard.StopAnswered(h.now, stops[0], reply, nil) }
+		},
+	}
+	for name, send := range orders {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.run(5 * time.Second)
+			answer := send(t, h, h.submit(firstID, fixedLength(100), nil, batchStep(1)))
+			h.cluster.Crash("w00")
+			h.cluster.Boot(h.now, "w00")
+			h.now += 100 * time.Millisecond
+			h.renewLeases("w00")
+			answer()
+			h.run(500 * time.Millisecond)
+			_, order, _ := h.shard.RenewOrder(h.now, "w00")
+			reply, _ := h.cluster.Renew(h.now, "w00", fleet.RenewOrder{Token: 1})
+			must.Positive(t, order.LeaseEnd)
+			must.Between(t, 4*time.Second, time.Duration(order.LeaseEnd-reply.Clock), 6*time.Second)
+		})
+	}
+}
+
+// beginOnlyStart plans and returns the order to start the only task that waits.
+func (h *harness) beginOnlyStart() scheduler.StartAction {
+	h.t.Helper()
+	starts := h.shard.Plan(h.now, h.now.Milliseconds(), unlimitedStarts).Starts
+	must.Len(h.t, 1, starts)
+	start, wanted := h.shard.BeginStart(h.now, starts[0])
+	must.True(h.t, wanted)
+	return start
+}
+
+// TestUnansweredStartIsStoppedInEachRun: a start order that got no answer reached a later
+// run of its worker. The order to stop the attempt had been accepted by an earlier run
+// only, and the task of a cancelled job ran.
+func TestUnansweredStartIsStoppedInEachRun(t *testing.T) {
+	cases := map[string]func(h *harness){
+		"accepted by the old run": func(h *harness) {
+			h.plan()
+			h.restartWorker()
+		},
+		"accepted late by the old run": func(h *harness) {
+			stops := h.shard.Plan(h.now, h.now.Milliseconds(), unlimitedStarts).Stops
+			must.Len(h.t, 1, stops)
+			h.restartWorker()
+			h.loseStops()
+			h.shard.StopAnswered(h.now, stops[0], fleet.Answer{Verdict: fleet.Accepted, Clock: platform.WorkerTime(h.now)}, nil)
+		},
+		"accepted by two runs": func(h *harness) {
+			h.plan()
+			h.restartWorker()
+			h.run(time.Second)
+			h.restartWorker()
+		},
+	}
+	for name, happen := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.run(time.Second)
+			id := h.submit(firstID, fixedLength(100), nil, batchStep(1))
+			start := h.beginOnlyStart()
+			h.shard.StartAnswered(h.now, start, fleet.Answer{}, platform.ErrOutcomeUnknown)
+			start = h.beginOnlyStart()
+			h.shard.StartAnswered(h.now, start, fleet.Answer{}, platform.ErrOutcomeUnknown)
+			h.shard.CancelJob(h.now, id)
+			happen(h)
+			h.run(time.Second)
+			answer, answered := h.cluster.Start(h.now, "w00", start.Order)
+			must.True(t, answered)
+			must.Eq(t, fleet.RefusedEnded, answer.Verdict)
+			h.run(time.Second)
+			must.Zero(t, h.cluster.Running(id))
+			must.Zero(t, h.shard.Waiting()[0])
+		})
+	}
+}
+
+// TestLostStopOfUnansweredStartIsRepeated: the order by which a new run should refuse an
+// attempt that the old run had was lost and not repeated. A start order for the attempt
+// that had got no answer reached the new run later, and the task of a cancelled job ran.
+func TestLostStopOfUnansweredStartIsRepeated(t *testing.T) {
+	h := newHarness(t, 1)
+	h.run(time.Second)
+	id := h.submit(firstID, fixedLength(100), nil, batchStep(1))
+	start := h.beginOnlyStart()
+	h.shard.StartAnswered(h.now, start, fleet.Answer{}, platform.ErrOutcomeUnknown)
+	h.run(200 * time.Millisecond)
+	must.Eq(t, 1, h.cluster.Running(id))
+	h.restartWorker()
+	h.shard.CancelJob(h.now, id)
+	h.loseStops()
+	h.run(time.Second)
+	answer, answered := h.cluster.Start(h.now, "w00", start.Order)
+	must.True(t, answered)
+	must.Eq(t, fleet.RefusedEnded, answer.Verdict)
+	must.Zero(t, h.cluster.Running(id))
+}
+
+// restartWorker restarts w00, and the owner reads the lists of its new run.
+func (h *harness) restartWorker() {
+	h.cluster.Crash("w00")
+	h.cluster.Boot(h.now, "w00")
+	h.now += 100 * time.Millisecond
+	h.renewLeases("w00")
+}
+
+// loseStops plans and loses all stop orders.
+func (h *harness) loseStops() {
+	for _, stop := range h.shard.Plan(h.now, h.now.Milliseconds(), unlimitedStarts).Stops {
+		h.shard.StopAnswered(h.now, stop, fleet.Answer{}, platform.ErrOutcomeUnknown)
+	}
+}
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -75,6 +75,8 @@
 	headroom    *headroom.Model
 	lengths     *length.Model
 
+	// heldEnds are the ends of attempts of jobs that the shard does not have.
+	heldEnds []heldEnd
 	// stopsInFlight counts the stop orders that were issued and have no outcome yet.
 	stopsInFlight map[stopKey]int
 	// openAdviceRequests counts the requests to the advice service that are in flight.
@@ -120,13 +122,17 @@
 // sent.
 type StartAction struct {
 	Worker fleet.Worker
-	Order  fleet.StartOrder
+	// Run is the worker's run when BeginStart returned the order.
+	Run   int64
+	Order fleet.StartOrder
 }
 
 // StopAction is an order to stop an attempt.
 type StopAction struct {
 	Worker fleet.Worker
-	Order  fleet.StopOrder
+	// Run is the worker's run when the order was issued.
+	Run   int64
+	Order fleet.StopOrder
 }
 
 // ThrottleAction is an order to change the CPU limit of an attempt.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -59,7 +60,7 @@
 	// unansweredStarts are the start orders that got no answer and may still be carried
 	// out. A new run of the worker would accept them, since it has forgotten the later
 	// orders that made the old run refuse them.
-	unansweredStarts map[job.TaskRef]unansweredStart
+	unansweredStarts map[job.TaskRef]*unansweredStart
 }
 
 // phase is the owner's view of an attempt's state.
@@ -138,7 +139,7 @@
 func (s *Shard) workerFor(id platform.WorkerID) *workerState {
 	w, ok := s.workers[id]
 	if !ok {
-		w = &workerState{attempts: map[job.TaskRef]*attempt{}, unansweredStarts: map[job.TaskRef]unansweredStart{}}
+		w = &workerState{attempts: map[job.TaskRef]*attempt{}, unansweredStarts: map[job.TaskRef]*unansweredStart{}}
 		w.clock.earlierLease = s.leaseLength()
 		w.info.ID = id
 		s.workers[id] = w
@@ -208,13 +209,14 @@
 			s.loseAttempt(now, a, "worker restarted")
 		}
 	}
+	w.run = run
 	for ref, start := range w.unansweredStarts {
 		if now < start.expiresAt {
 			// A stop order in flight may be meant for the previous run.
+			start.stopDue, start.stopOrderedAt = true, now
 			s.issueStop(w, ref, start.number)
 		}
 	}
-	w.run = run
 	w.enrolling = false
 	// The lease of an order sent before the restart was counted on the old run's clock.
 	w.clock = workerClock{readAt: now, earlierLease: s.bounds.MaxLease}
@@ -305,7 +307,7 @@
 	// in the log.
 	applied  uint64
 	recorded uint64
-	pending  []pendingEnd
+	pending  []*pendingEnd
 }
 
 // pendingEnd says that the ends up to endNumber are recorded once the journal's change
@@ -315,9 +317,14 @@
 	change    uint64
 }
 
-func (l *endedLog) add(number, change uint64) {
+// notRecordable is the change number of ends that must not be acknowledged.
+const notRecordable = math.MaxUint64
+
+func (l *endedLog) add(number, change uint64) *pendingEnd {
+	p := &pendingEnd{number, change}
 	l.applied = number
-	l.pending = append(l.pending, pendingEnd{number, change})
+	l.pending = append(l.pending, p)
+	return p
 }
 
 // acknowledgeable returns the highest end number whose change was recorded.
@@ -360,6 +367,15 @@
 	c.readAt, c.reading, c.known = at, reading, true
 }
 
+// updateClock applies a clock reading from the answer to an order that was issued for
+// the given run. An answer of an earlier run may arrive late, and the clock of each run
+// starts anew.
+func (w *workerState) updateClock(at Instant, run int64, reading platform.WorkerTime) {
+	if run == w.run {
+		w.clock.update(at, reading)
+	}
+}
+
 // extendLease returns the worker's clock reading at which a lease of the given length
 // from now ends, and tracks it in maxLeaseEnd. The lease never lasts longer than
 // length, since the reading is at least as old as the answer that carried it.
