Continue a cut load of the table of jobs after its last page

After a restart of all hosts a new owner was seen only 3.3 to 8.8 s after they were back. Each host loads the table in pages of up to 1 MB, and Store.Newest threw all of them away when one page failed or the context of a takeover ended, so a busy link carried the same pages again and again.

Newest now returns one page, and keyed.Reader keeps the pages that it has until the load is complete. Following begins at the end of the first page, as before. That end may be old by now, so Refresh reads the log once more after a load before it counts the host as caught up; a takeover that completed an older load would otherwise miss records. memstore serves pages of 500 records in the order of keys, as the platform does.

--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -78,6 +78,13 @@
 	End     platform.Offset
 }
 
+// NewestPage is a page of the newest records of each key. More is set if there may be
+// another one.
+type NewestPage struct {
+	Page
+	More bool
+}
+
 // Assignment is the partitions assigned to a member of a group. Epoch increases
 // with each change of the group.
 type Assignment struct {
@@ -119,9 +126,11 @@
 	// Read returns records starting at offset from, waiting up to wait for one. It
 	// fails with *platform.OffsetExpiredError if from is no longer retained.
 	Read(ctx context.Context, p Partition, from platform.Offset, wait time.Duration) (Page, error)
-	// Newest returns the newest record of each key, and the offset at which reads
-	// continue. A record may have a higher offset than that.
-	Newest(ctx context.Context, p Partition) (Page, error)
+	// Newest returns a page of the newest records of each key: the first page if after
+	// is nil, else the page that follows the key *after, the last one of the page
+	// before. Reads continue at the end of the first page. The pages are not a
+	// snapshot, and a record may have a higher offset than that end.
+	Newest(ctx context.Context, p Partition, after *string) (NewestPage, error)
 	// Join joins a group or renews the membership.
 	Join(ctx context.Context, m Membership) (Assignment, error)
 	// Leave releases all partitions immediately and leaves the group.
--- a/internal/process/keyed/keyed.go
+++ b/internal/process/keyed/keyed.go
@@ -18,6 +18,8 @@
 	partition store.Partition
 	next      platform.Offset
 	loaded    bool
+	// pages holds the pages of a load that is not complete yet.
+	pages []store.NewestPage
 }
 
 // NewReader returns a reader that has read nothing.
@@ -35,7 +37,7 @@
 
 // Next returns the records written since the last call, waiting up to wait for
 // one. The first call, and one whose next offset has expired, returns the newest
-// record of each key.
+// record of each key. After an error the next call goes on where the last one failed.
 func (r *Reader) Next(ctx context.Context, wait time.Duration) (Changes, error) {
 	if !r.loaded {
 		return r.load(ctx)
@@ -43,6 +45,7 @@
 	page, err := r.store.Read(ctx, r.partition, r.next, wait)
 	var expired *platform.OffsetExpiredError
 	if errors.As(err, &expired) {
+		r.loaded = false
 		return r.load(ctx)
 	}
 	if err != nil {
@@ -52,13 +55,35 @@
 	return Changes{Page: page}, nil
 }
 
+// load reads the pages of the newest records that are still missing.
 func (r *Reader) load(ctx context.Context) (Changes, error) {
-	page, err := r.store.Newest(ctx, r.partition)
-	if err != nil {
-		return Changes{}, err
+	for {
+		page, err := r.store.Newest(ctx, r.partition, r.lastLoadedKey())
+		if err != nil {
+			return Changes{}, err
+		}
+		r.pages = append(r.pages, page)
+		if !page.More || len(page.Records) == 0 {
+			break
+		}
+	}
+	// Records written since the first page are read again from its end on, since a
+	// later page may lack them.
+	all := store.Page{First: r.pages[0].First, End: r.pages[0].End}
+	for _, page := range r.pages {
+		all.Records = append(all.Records, page.Records...)
+	}
+	r.next, r.loaded, r.pages = all.End, true, nil
+	return Changes{Page: all, All: true}, nil
+}
+
+// lastLoadedKey returns the last key of a load in progress, or nil before its first page.
+func (r *Reader) lastLoadedKey() *string {
+	if len(r.pages) == 0 {
+		return nil
 	}
-	r.next, r.loaded = page.End, true
-	return Changes{Page: page, All: true}, nil
+	records := r.pages[len(r.pages)-1].Records
+	return &records[len(records)-1].Key
 }
 
 // Position returns the offset from which the next read continues.
--- a/internal/process/node/instrumented.go
+++ b/internal/process/node/instrumented.go
@@ -78,9 +78,9 @@
 }
 
 // Newest implements store.Store.
-func (s *instrumentedStore) Newest(ctx context.Context, p store.Partition) (store.Page, error) {
+func (s *instrumentedStore) Newest(ctx context.Context, p store.Partition, after *string) (store.NewestPage, error) {
 	started := s.clock()
-	page, err := s.Store.Newest(ctx, p)
+	page, err := s.Store.Newest(ctx, p, after)
 	s.recordCall("newest", started, 0, err)
 	return page, err
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -227,7 +227,8 @@
 			return err
 		}
 		n.applyPage(changes.Page)
-		if n.reader.Position() >= changes.End {
+		// A load may have begun long before this call, so its end is not that of the log.
+		if !changes.All && n.reader.Position() >= changes.End {
 			n.caughtUpAt.Store(int64(sent))
 			return nil
 		}
--- a/internal/standin/memstore/memstore.go
+++ b/internal/standin/memstore/memstore.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -220,19 +221,27 @@
 	return page, s.changed, nil
 }
 
-// newest returns the newest record of each key in the order of offsets.
-func (s *Store) newest(p store.Partition) store.Page {
+// newest returns a page of the newest records in the order of keys; see store.Store.
+func (s *Store) newest(p store.Partition, after *string) store.NewestPage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.log(p)
-	page := store.Page{First: l.firstOffset, End: l.end()}
+	page := store.NewestPage{Page: store.Page{First: l.firstOffset, End: l.end()}}
 	for _, r := range l.newest {
-		page.Records = append(page.Records, r)
+		if after == nil || r.Key > *after {
+			page.Records = append(page.Records, r)
+		}
+	}
+	slices.SortFunc(page.Records, func(a, b store.StoredRecord) int { return strings.Compare(a.Key, b.Key) })
+	if len(page.Records) > newestPageRecords {
+		page.Records, page.More = page.Records[:newestPageRecords], true
 	}
-	slices.SortFunc(page.Records, func(a, b store.StoredRecord) int { return int(a.Offset) - int(b.Offset) })
 	return page
 }
 
+// newestPageRecords is the greatest number of records in a page of the newest ones.
+const newestPageRecords = 500
+
 // Newest returns the newest value of a key, or nil if there is none.
 func (s *Store) Newest(p store.Partition, key string) []byte {
 	s.mu.Lock()
--- a/internal/standin/memstore/memstore_test.go
+++ b/internal/standin/memstore/memstore_test.go
@@ -37,7 +37,7 @@
 		_, err = put(3, 2, "late")
 		var fenced *store.FencedError
 		must.True(t, errors.As(err, &fenced))
-		page, err := v.Newest(ctx, part)
+		page, err := v.Newest(ctx, part, nil)
 		must.NoError(t, err)
 		must.Eq(t, "b", string(page.Records[0].Value))
 	})
--- a/internal/standin/memstore/view.go
+++ b/internal/standin/memstore/view.go
@@ -160,12 +160,12 @@
 }
 
 // Newest implements store.Store.
-func (v *View) Newest(ctx context.Context, p store.Partition) (store.Page, error) {
+func (v *View) Newest(ctx context.Context, p store.Partition, after *string) (store.NewestPage, error) {
 	mode, err := v.beginCall(ctx)
 	if err != nil {
-		return store.Page{}, err
+		return store.NewestPage{}, err
 	}
-	page := v.store.newest(p)
+	page := v.store.newest(p, after)
 	return page, v.finishCall(ctx, mode)
 }
 
