Take over the shard only once the table of jobs is loaded

After a restart of all hosts takeovers failed with "wait for another read of the log: context deadline exceeded": a host that the group assigned the shard to fenced the earlier owners and then waited up to 2 s for the first load of the table, which takes longer on a link of 10 Mbit/s, and began again. Each try wrote to the store and could fence an owner that still worked.

handleAssignment leaves the shard alone until the table is loaded, and looks again at each join. The first load is bounded by no takeover; one of a loaded host runs as before. A host that has to load again, since the log no longer retains what it missed, counts as not loaded after a failed try.

TestHostLoadsBeforeItTakesOver failed before: the host appended while it loaded.

--- a/internal/process/keyed/keyed.go
+++ b/internal/process/keyed/keyed.go
@@ -86,5 +86,8 @@
 	return &records[len(records)-1].Key
 }
 
+// Loaded reports whether the newest record of each key has been read.
+func (r *Reader) Loaded() bool { return r.loaded }
+
 // Position returns the offset from which the next read continues.
 func (r *Reader) Position() platform.Offset { return r.next }
--- a/internal/process/node/load_test.go
+++ b/internal/process/node/load_test.go
@@ -6,10 +6,13 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/siskinvane/siskinvane/internal/platform/store"
 	"github.com/siskinvane/siskinvane/internal/process/keyed"
+	"github.com/siskinvane/siskinvane/internal/process/pause"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 	"github.com/siskinvane/siskinvane/internal/standin/memstore"
 )
@@ -48,3 +51,48 @@
 	_, known := n.table.Get(early)
 	must.True(t, known)
 }
+
+// slowLoads is a store behind a narrow link: each page of newest records takes time.
+type slowLoads struct {
+	store.Store
+	pageTime time.Duration
+	// loaded is set once the last page was served.
+	loaded atomic.Bool
+}
+
+// Newest implements store.Store.
+func (s *slowLoads) Newest(ctx context.Context, p store.Partition, after *string) (store.NewestPage, error) {
+	if err := pause.For(ctx, s.pageTime); err != nil {
+		return store.NewestPage{}, err
+	}
+	page, err := s.Store.Newest(ctx, p, after)
+	if p.Topic == JobTopic && err == nil && !page.More {
+		s.loaded.Store(true)
+	}
+	return page, err
+}
+
+// TestHostLoadsBeforeItTakesOver guards against a host that fences the owner and then
+// gives up, again and again, because it has not loaded the table of jobs.
+func TestHostLoadsBeforeItTakesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster()
+		for i := range 2400 {
+			c.store.Put(store.Partition{Topic: JobTopic}, submissionRecord(t, job.ID(fmt.Sprintf("%016x", i+1))))
+		}
+		var link *slowLoads
+		c.wrap = func(s store.Store) store.Store {
+			link = &slowLoads{Store: s, pageTime: 1200 * time.Millisecond}
+			return link
+		}
+		n := c.startHost(t, "h1", 1)
+		for !link.loaded.Load() {
+			must.Zero(t, c.view("h1").Appends())
+			must.Less(t, 8*time.Second, time.Since(c.started))
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(300 * time.Millisecond)
+		must.True(t, n.OwnsShard())
+		c.stop(n)
+	})
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -85,6 +85,10 @@
 	// caughtUpAt is when the last read that reached the end of the log was sent, in
 	// nanoseconds of Clock.
 	caughtUpAt atomic.Int64
+	// loaded is set while the table holds the newest record of each key. It is not set
+	// during the first load, nor after a failed load of a host that has fallen behind
+	// what the log retains.
+	loaded atomic.Bool
 	// readToken holds a token while reader is in use.
 	readToken chan struct{}
 	reader    *keyed.Reader
@@ -223,6 +227,7 @@
 	for {
 		sent := n.Clock()
 		changes, err := n.reader.Next(ctx, 0)
+		n.loaded.Store(n.reader.Loaded())
 		if err != nil {
 			return err
 		}
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -21,10 +21,11 @@
 	registryPollInterval = 300 * time.Millisecond
 )
 
-// handleAssignment takes over the shard once the group assigns it to this host, and
-// releases it once the dispatcher has given it up, mostly because another owner has been
-// seen. Until then the host keeps the shard, even if the group assigns it to another host
-// or a join fails.
+// handleAssignment takes over the shard once the group assigns it to this host and the
+// table is loaded, which may take far longer than takeOverTimeout. It releases the shard
+// once the dispatcher has given it up, mostly because another owner has been seen. Until
+// then the host keeps the shard, even if the group assigns it to another host or a join
+// fails.
 func (n *Node) handleAssignment(a store.Assignment, err error) {
 	d := n.ownedDispatcher()
 	if d != nil && d.Err() != nil {
@@ -36,7 +37,7 @@
 	if err != nil {
 		return
 	}
-	if d != nil || !a.Holds(n.partition) || n.leaving.Load() {
+	if d != nil || !a.Holds(n.partition) || n.leaving.Load() || !n.loaded.Load() {
 		return
 	}
 	n.member.Keep(true)
--- a/internal/process/node/write_test.go
+++ b/internal/process/node/write_test.go
@@ -54,6 +54,8 @@
 	store   *memstore.Store
 	network *memnet.Network
 	started time.Time
+	// wrap, if set, wraps the store of each host that is started.
+	wrap func(store.Store) store.Store
 }
 
 func newTestCluster() *testCluster {
@@ -67,12 +69,16 @@
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
+	var s store.Store = c.view(name)
+	if c.wrap != nil {
+		s = c.wrap(s)
+	}
 	ip := netip.AddrFrom4([4]byte{127, 0, 1, last})
 	n, err := Start(Config{
 		Host: platform.HostID(name), Peer: netip.AddrPortFrom(ip, 7720), Network: c.network.Host(ip),
 		Logger: logger, Metrics: metrics.NewRegistry(), Clock: func() time.Duration { return time.Since(c.started) },
 		Retention: time.Minute, AppendBytes: memstore.MaxAppendBytes,
-		Store: c.view(name), Registry: func() fleet.Registry { return noWorkers{} }, Declarations: &staticDeclarations{},
+		Store: s, Registry: func() fleet.Registry { return noWorkers{} }, Declarations: &staticDeclarations{},
 	})
 	must.NoError(t, err)
 	return n
