--- a/internal/process/node/write.go
+++ b/internal/process/node/write.go
@@ -94,7 +94,7 @@
 	go func() {
 		var v Verdict
 		// The timeout does not depend on the caller's deadline: a call that times out
-		// closes the connection, which other calls share.
+		// on a silent connection closes it, and other calls share it.
 		if err := n.peers.CallTimeout(ownerTimeout, addr, peerService, "Propose", p, &v); err != nil {
 			// v is left out, since a late answer may still be written to it.
 			replies <- ownerReply{err: err}
