Send the payload of a job to the owner once

Hosts sent each new job to the owner twice, as the submission and as its encoded record: 240 kB/s into the owner at 47 jobs a second.

Service.ProposeJob takes the record alone and decodes the submission for admission. An owner of an older version answers that it has no such method, which has no effect; the host then proposes both as before, and at once for later jobs of the same owner. Hosts of older versions go on calling Propose.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -97,6 +97,9 @@
 	leaving atomic.Bool
 	direct  directWriter
 
+	// oldOwner is the epoch of the latest owner seen that lacks Service.ProposeJob.
+	oldOwner atomic.Uint64
+
 	// applying is held while a page is applied to the table and its changes are passed to
 	// the dispatcher: the table reports a change only once, and the dispatcher must hear
 	// of changes in the order in which they were applied. It is acquired before mu.
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -47,6 +47,23 @@
 	return err
 }
 
+// JobProposal asks the shard's owner to decide on the admission of a job and to write its
+// submission record.
+type JobProposal struct {
+	Record store.Record
+}
+
+// ProposeJob is like Propose for a submission, which it takes from the record. Hosts of
+// older versions do not have it.
+func (s *Service) ProposeJob(p JobProposal, v *Verdict) error {
+	id, submission, err := job.DecodeSubmission(p.Record)
+	if err != nil {
+		return err
+	}
+	*v, err = s.node.decideProposal(s.node.ctx, Proposal{ID: id, Submission: submission, Record: p.Record})
+	return err
+}
+
 // StateArgs is the argument of Service.State.
 type StateArgs struct {
 	ID job.ID
--- a/internal/process/node/write.go
+++ b/internal/process/node/write.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"net/rpc"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -95,7 +97,7 @@
 		var v Verdict
 		// The timeout does not depend on the caller's deadline: a call that times out
 		// on a silent connection closes it, and other calls share it.
-		if err := n.peers.CallTimeout(ownerTimeout, addr, peerService, "Propose", p, &v); err != nil {
+		if err := n.callPropose(addr, p, &v); err != nil {
 			// v is left out, since a late answer may still be written to it.
 			replies <- ownerReply{err: err}
 			return
@@ -110,6 +112,27 @@
 	}
 }
 
+// callPropose makes the call of propose. A submission travels in the record alone, unless
+// the owner is of a version that needs it decoded as well.
+func (n *Node) callPropose(addr netip.AddrPort, p Proposal, v *Verdict) error {
+	epoch := uint64(n.table.Owner().Epoch)
+	timeout := ownerTimeout
+	if p.Submission != nil && n.oldOwner.Load() != epoch {
+		started := n.Clock()
+		err := n.peers.CallTimeout(timeout, addr, peerService, "ProposeJob", JobProposal{Record: p.Record}, v)
+		var refused rpc.ServerError
+		if !errors.As(err, &refused) || !strings.HasPrefix(string(refused), unknownMethodPrefix) {
+			return err
+		}
+		n.oldOwner.Store(epoch)
+		timeout -= n.Clock() - started
+	}
+	return n.peers.CallTimeout(timeout, addr, peerService, "Propose", p, v)
+}
+
+// unknownMethodPrefix begins the error of net/rpc for a method that the server lacks.
+const unknownMethodPrefix = "rpc: can't find "
+
 // ownerReply is the outcome of a call to the owner.
 type ownerReply struct {
 	verdict Verdict
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -154,6 +154,20 @@
 	return encodeRecord(submissionKey+string(id), s)
 }
 
+// DecodeSubmission returns the job's ID and the submission that a record of
+// SubmissionRecord holds.
+func DecodeSubmission(r store.Record) (ID, *Submission, error) {
+	kind, id := splitKey(r.Key)
+	if kind != submissionKey {
+		return "", nil, fmt.Errorf("record %q is no submission", r.Key)
+	}
+	s := &Submission{}
+	if err := cbor.Unmarshal(r.Value, s); err != nil {
+		return "", nil, fmt.Errorf("submission of job %s: %w", id, err)
+	}
+	return id, s, nil
+}
+
 // ProgressRecord returns the progress record of a job.
 func ProgressRecord(id ID, p *Progress) (store.Record, error) {
 	return encodeRecord(progressKey+string(id), p)
