--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -78,7 +78,7 @@
 	storeHealth *storeHealth
 	server      *peer.Server
 	peers       *peer.Client
-	// probes makes the calls that choose the owner. A call that times out closes its
+	// probes makes the calls that choose the owner. One that times out may close its
 	// connection, which must not be one of peers.
 	probes *peer.Client
 	config atomic.Pointer[queue.Config]
@@ -93,6 +93,10 @@
 	// caughtUpAt is when the last read that reached the end of the log was sent, in
 	// nanoseconds of Clock.
 	caughtUpAt atomic.Int64
+	// loaded is set once the table holds the newest record of each key and those written
+	// while they were read, which can take several reads. It is not set while a host that
+	// has fallen behind what the log retains loads the table again.
+	loaded atomic.Bool
 	// readToken holds a token while reader and unreadSince are in use.
 	readToken chan struct{}
 	reader    *keyed.Reader
@@ -103,6 +107,9 @@
 	leaving atomic.Bool
 	direct  directWriter
 
+	// oldOwner is the epoch of the latest owner seen that lacks Service.ProposeJob.
+	oldOwner atomic.Uint64
+
 	// applying is held while a page is applied to the table and its changes are passed to
 	// the dispatcher: the table reports a change only once, and the dispatcher must hear
 	// of changes in the order in which they were applied. It is acquired before mu.
@@ -258,13 +265,18 @@
 			n.unreadSince = sent
 		}
 		changes, err := n.reader.Next(ctx, 0)
+		if !n.reader.Loaded() || changes.All {
+			n.loaded.Store(false)
+		}
 		if err != nil {
 			return err
 		}
 		n.applyChanges(changes, n.unreadSince)
 		n.unreadSince = 0
-		if n.reader.Position() >= changes.End {
+		// A load may have begun long before this call, so its end is not that of the log.
+		if !changes.All && n.reader.Position() >= changes.End {
 			n.caughtUpAt.Store(int64(sent))
+			n.loaded.Store(true)
 			return nil
 		}
 	}
--- a/internal/process/node/takeover_test.go
+++ b/internal/process/node/takeover_test.go
@@ -226,8 +226,8 @@
 }
 
 // Newest implements store.Store.
-func (s *arrivingStore) Newest(ctx context.Context, p store.Partition) (store.Page, error) {
-	page, err := s.Store.Newest(ctx, p)
+func (s *arrivingStore) Newest(ctx context.Context, p store.Partition, after *string) (store.NewestPage, error) {
+	page, err := s.Store.Newest(ctx, p, after)
 	s.beforeAnswer()
 	return page, err
 }
