--- a/internal/process/node/standby.go
+++ b/internal/process/node/standby.go
@@ -21,7 +21,7 @@
 
 const (
 	// minOwnerLinkMbps is the least bandwidth of a preferred owner's link, in
-	// megabit/s. An owner of 500 workers sends 40 Mbit/s.
+	// megabit/s. An owner of 500 workers needs 40 Mbit/s.
 	minOwnerLinkMbps = 50.0
 	// observerGroupName is the name of the group that standby hosts join while they
 	// are not in the group of the shards. Its assignments are ignored.
--- a/internal/process/node/write.go
+++ b/internal/process/node/write.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"net/rpc"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -120,8 +118,7 @@
 	if p.Submission != nil && n.oldOwner.Load() != epoch {
 		started := n.Clock()
 		err := n.peers.CallTimeout(timeout, addr, peerService, "ProposeJob", JobProposal{Record: p.Record}, v)
-		var refused rpc.ServerError
-		if !errors.As(err, &refused) || !strings.HasPrefix(string(refused), unknownMethodPrefix) {
+		if !unknownMethod(err) {
 			return err
 		}
 		n.oldOwner.Store(epoch)
@@ -130,9 +127,6 @@
 	return n.peers.CallTimeout(timeout, addr, peerService, "Propose", p, v)
 }
 
-// unknownMethodPrefix begins the error of net/rpc for a method that the server lacks.
-const unknownMethodPrefix = "rpc: can't find "
-
 // ownerReply is the outcome of a call to the owner.
 type ownerReply struct {
 	verdict Verdict
--- a/internal/scheduler/dirty.go
+++ b/internal/scheduler/dirty.go
@@ -10,9 +10,9 @@
 // answer of a worker, and an answer changes one worker only: for an owner of many
 // workers, planning over all of them would cost more than everything else.
 type dirtySet struct {
-	// workers are the workers that have changed, in the order of their changes, as far as
-	// some waiting step was not tried on them since. A worker that changes again after a
-	// plan is listed again.
+	// workers are the workers that have changed, in the order of their changes, until
+	// every waiting step has been tried on them. A worker that changes again after a plan
+	// is listed again.
 	workers []*workerState
 	// base is the number of workers[0] in the sequence of all changes.
 	base int
