Wait for unread failures before a task is tried again after a takeover

Cause: the new owner starts a task again without having heard of all workers if it has seen the task's attempt running, since that was the only one. When that attempt fails, earlier failures may still stand unread in the lists of workers that the owner has not reached: the former owner could not record them, as it had lost the store.

A task that has failed waits until all attempts are known. Long-running tasks and tasks without a failure go on as before.

--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -125,11 +125,14 @@
 	return n
 }
 
-// safeToStart reports whether no untracked attempt of a task can be running. An attempt
-// that was seen running was the only one, since its owner knew that the earlier ones
-// had ended.
+// safeToStart reports whether no untracked attempt of a task can be running and none of
+// its failures can be unread that would exceed its limit. An attempt that was seen running
+// was the only one, since its owner knew that the earlier ones had ended.
 func (p *placement) safeToStart(t *task) bool {
-	if !t.step.job.beforeTakeover || t.seenRunning || t.lastAttempt >= p.shard.firstAttempt {
+	if !t.step.job.beforeTakeover {
+		return true
+	}
+	if (t.seenRunning || t.lastAttempt >= p.shard.firstAttempt) && !t.failuresMayBeUnread() {
 		return true
 	}
 	if p.allKnown == nil {
@@ -139,6 +142,19 @@
 	return *p.allKnown
 }
 
+// failuresMayBeUnread reports whether a task that has failed may have failed more often: an
+// earlier owner may not have recorded the failures that workers still list. A task that
+// has not failed so far may run once more in any case, since its last owner started it.
+func (t *task) failuresMayBeUnread() bool {
+	if t.step.spec.LongRunning || t.step.job.sub.MaxFailures == 0 {
+		return false
+	}
+	if t.step.spec.Gang {
+		t = t.step.tasks[0]
+	}
+	return len(t.failures) > 0
+}
+
 // HasQuorum reports whether two thirds of the workers that this or an earlier owner has
 // enrolled have answered this owner within AuthorityWindow. Workers that only earlier
 // owners have reached count as well: a later owner's quorum is two thirds of all, and
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -270,3 +270,37 @@
 	must.Eq(t, 2, acknowledged())
 	must.False(t, h.shard.Unacknowledged("w00"))
 }
+
+// TestRetryWaitsForUnreadFailures: an owner that saw a task fail on one worker started it
+// again before it had read the earlier failures that another worker listed.
+func TestRetryWaitsForUnreadFailures(t *testing.T) {
+	h := newHarness(t, 6)
+	h.run(200 * time.Millisecond)
+	drainAllBut := func(id platform.WorkerID) {
+		for _, w := range h.cluster.Entries() {
+			h.cluster.SetDraining(w.ID, id != "" && w.ID != id)
+		}
+		h.syncWorkers()
+	}
+	drainAllBut("w00")
+	h.recordingPaused = true
+	id := h.submit(firstID, fixedLength(0.3), alwaysFails, batchStep(1))
+	for h.cluster.Starts() < 2 {
+		h.tick()
+	}
+	drainAllBut("w01")
+	for h.cluster.Starts() < 3 {
+		h.tick()
+	}
+	h.cluster.SetPartitioned("w00", true)
+	drainAllBut("")
+	h.takeOver(false)
+	h.recordingPaused = false
+	h.run(2 * time.Second)
+	h.checkViolations()
+	must.Eq(t, 3, h.cluster.Starts())
+	h.cluster.SetPartitioned("w00", false)
+	h.run(2 * time.Second)
+	h.checkViolations()
+	must.Eq(t, job.Failed, h.state(id))
+}
