Count a machine that is down towards the limits of all waves that contain it

Cause: the planner counted for each wave the machines that it had ordered down for that wave. The platform's page asks that of the machines of a wave at most that many have their upkeep at once, and its rule counts the machines of the wave that are down for their upkeep: which wave the upkeep was ordered for does not matter. So the check was right and the planner's account wrong.

Change: a machine that is drained or may be down for any wave counts towards the limits of all waves that contain it, and a drain begins only if every such wave has room. A machine is drained for one wave at a time whatever the waves' numbers.

TestOverlappingWavesKeepTheirLimits fails at its first seed on the code before.

--- a/internal/scheduler/upkeep/upkeep.go
+++ b/internal/scheduler/upkeep/upkeep.go
@@ -149,42 +149,80 @@
 	}
 }
 
+// declaredWave is a declared wave with its state.
+type declaredWave struct {
+	*waveState
+	declared fleet.Wave
+}
+
+// plan is one pass over the open waves.
+type plan struct {
+	now      Instant
+	snapshot Snapshot
+	machines map[platform.MachineID]fleet.Machine
+	// open are the waves that are not complete, sorted by number, and ending those whose
+	// last machines may still be down.
+	open, ending []declaredWave
+	// known are the states of all waves.
+	known map[int64]*waveState
+}
+
 // Plan returns the actions to take now.
 func (p *Planner) Plan(now Instant, s Snapshot) Actions {
 	var actions Actions
-	machines := map[platform.MachineID]fleet.Machine{}
-	for _, m := range s.Machines {
-		machines[m.ID] = m
-	}
-	// A machine that belongs to two waves is drained and ordered for one at a time.
-	claimed := map[platform.MachineID]bool{}
-	waves := slices.Clone(s.Waves)
-	slices.SortFunc(waves, func(a, b fleet.Wave) int { return cmp.Compare(a.Number, b.Number) })
-	for _, declared := range waves {
-		w := p.ensureWave(declared.Number)
-		if w.progress.complete(declared) {
-			continue
-		}
-		w.progress.Done, w.progress.Removed = false, nil
-		w.markRecovered(s.ReadAt, machines)
-		remaining := w.remaining(declared, machines)
+	pass := p.newPlan(now, s)
+	for _, w := range pass.open {
+		remaining := w.remaining(pass.machines)
 		if len(remaining) == 0 {
-			w.markDone(declared)
-			actions.Done = append(actions.Done, declared.Number)
+			w.markDone(w.declared)
+			actions.Done = append(actions.Done, w.declared.Number)
 			continue
 		}
-		w.startDraining(now, declared, remaining, machines, s, claimed)
+		pass.startDraining(w, remaining)
 		for _, id := range sortedIDs(w.draining) {
-			worker := machines[id].Worker
+			worker := pass.machines[id].Worker
 			actions.Drain = append(actions.Drain, worker)
 			if w.mayOrder(now, id, s.Load(worker)) {
-				actions.Orders = append(actions.Orders, Order{Wave: declared.Number, Machine: id})
+				actions.Orders = append(actions.Orders, Order{Wave: w.declared.Number, Machine: id})
 			}
 		}
 	}
 	return actions
 }
 
+// newPlan reopens the waves that have changed since they were done, and updates what is
+// known of each wave from the list of machines.
+func (p *Planner) newPlan(now Instant, s Snapshot) *plan {
+	pass := &plan{now: now, snapshot: s, machines: map[platform.MachineID]fleet.Machine{}, known: p.waves}
+	for _, m := range s.Machines {
+		pass.machines[m.ID] = m
+	}
+	for _, declared := range s.Waves {
+		w := p.ensureWave(declared.Number)
+		w.markRecovered(s.ReadAt, pass.machines)
+		switch {
+		case !w.progress.complete(declared):
+			w.progress.Done, w.progress.Removed = false, nil
+			pass.open = append(pass.open, declaredWave{w, declared})
+		case slices.ContainsFunc(declared.Machines, w.mayBeDown):
+			pass.ending = append(pass.ending, declaredWave{w, declared})
+		}
+	}
+	slices.SortFunc(pass.open, func(a, b declaredWave) int { return cmp.Compare(a.declared.Number, b.declared.Number) })
+	for number, w := range p.waves {
+		var needed []platform.MachineID
+		if i := slices.IndexFunc(pass.open, func(o declaredWave) bool { return o.declared.Number == number }); i >= 0 {
+			needed = pass.open[i].remaining(pass.machines)
+		}
+		for id := range w.draining {
+			if !slices.Contains(needed, id) || pass.machines[id].State != fleet.MachineUp {
+				delete(w.draining, id)
+			}
+		}
+	}
+	return pass
+}
+
 // markDone marks the wave as done, and those of its machines that have not begun
 // their maintenance as removed.
 func (w *waveState) markDone(declared fleet.Wave) {
@@ -209,9 +247,9 @@
 
 // remaining returns the machines of the wave that still exist and have not begun their
 // maintenance.
-func (w *waveState) remaining(declared fleet.Wave, machines map[platform.MachineID]fleet.Machine) []platform.MachineID {
+func (w declaredWave) remaining(machines map[platform.MachineID]fleet.Machine) []platform.MachineID {
 	var list []platform.MachineID
-	for _, id := range declared.Machines {
+	for _, id := range w.declared.Machines {
 		if _, exists := machines[id]; exists && !slices.Contains(w.progress.Begun, id) {
 			list = append(list, id)
 		}
@@ -219,29 +257,66 @@
 	return list
 }
 
-// countUnavailable counts the machines that may be down for the wave: those that were
-// or may have been ordered, until they are seen up again.
-func (w *waveState) countUnavailable(machines map[platform.MachineID]fleet.Machine) int {
-	n := 0
-	for _, id := range w.progress.Ordered {
-		_, exists := machines[id]
-		_, draining := w.draining[id]
-		if exists && !draining && !w.recovered[id] {
-			n++
+// mayBeDown reports whether a machine may be down for the wave: it was or may have been
+// ordered, and has not been seen up since.
+func (w *waveState) mayBeDown(id platform.MachineID) bool {
+	return slices.Contains(w.progress.Ordered, id) && !w.drains(id) && !w.recovered[id]
+}
+
+func (w *waveState) drains(id platform.MachineID) bool {
+	_, draining := w.draining[id]
+	return draining
+}
+
+// draining reports whether a machine is drained for any wave.
+func (p *plan) draining(id platform.MachineID) bool {
+	for _, w := range p.known {
+		if w.drains(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// unavailable reports whether a machine is drained or may be down, for whichever wave.
+func (p *plan) unavailable(id platform.MachineID) bool {
+	if _, exists := p.machines[id]; !exists {
+		return false
+	}
+	for _, w := range p.known {
+		if w.drains(id) || w.mayBeDown(id) {
+			return true
 		}
 	}
-	return n
+	return false
 }
 
-// startDraining starts to drain machines up to the limit of the wave. Machines whose
-// order may have been carried out come first, then those with the fewest tasks.
-func (w *waveState) startDraining(now Instant, declared fleet.Wave, remaining []platform.MachineID, machines map[platform.MachineID]fleet.Machine, s Snapshot, claimed map[platform.MachineID]bool) {
-	for id := range w.draining {
-		if !slices.Contains(remaining, id) || machines[id].State != fleet.MachineUp {
-			delete(w.draining, id)
+// atLimit reports whether a wave that contains the machine has as many machines
+// unavailable as its limit allows. Waves may share machines: one that is down for one of
+// them counts towards the limits of all that contain it.
+func (p *plan) atLimit(id platform.MachineID) bool {
+	for _, w := range slices.Concat(p.open, p.ending) {
+		if !slices.Contains(w.declared.Machines, id) {
+			continue
+		}
+		n := 0
+		for _, other := range w.declared.Machines {
+			if p.unavailable(other) {
+				n++
+			}
+		}
+		if n >= w.declared.MaxDown {
+			return true
 		}
 	}
-	load := func(id platform.MachineID) TaskCounts { return s.Load(machines[id].Worker) }
+	return false
+}
+
+// startDraining starts to drain machines of a wave up to the limits. Machines whose
+// order may have been carried out come first, then those with the fewest tasks. A machine
+// that belongs to several waves is drained for one at a time.
+func (p *plan) startDraining(w declaredWave, remaining []platform.MachineID) {
+	load := func(id platform.MachineID) TaskCounts { return p.snapshot.Load(p.machines[id].Worker) }
 	slices.SortStableFunc(remaining, func(a, b platform.MachineID) int {
 		return cmp.Or(
 			cmp.Compare(w.priority(a), w.priority(b)),
@@ -251,20 +326,12 @@
 		)
 	})
 	for _, id := range remaining {
-		if _, draining := w.draining[id]; draining {
-			claimed[id] = true
-		}
-	}
-	for _, id := range remaining {
-		_, draining := w.draining[id]
-		alreadyOrdered := slices.Contains(w.progress.Ordered, id)
-		atLimit := w.countUnavailable(machines)+len(w.draining) >= declared.MaxDown
 		// A machine that was ordered before already counts as unavailable.
-		if draining || claimed[id] || machines[id].State != fleet.MachineUp || atLimit && !alreadyOrdered {
+		alreadyOrdered := slices.Contains(w.progress.Ordered, id)
+		if p.draining(id) || p.machines[id].State != fleet.MachineUp || p.atLimit(id) && !alreadyOrdered {
 			continue
 		}
-		w.draining[id] = now
-		claimed[id] = true
+		w.draining[id] = p.now
 	}
 }
 
--- a/internal/scheduler/upkeep/upkeep_test.go
+++ b/internal/scheduler/upkeep/upkeep_test.go
@@ -74,6 +74,17 @@
 	return fleet.MachineAccepted
 }
 
+// countDown returns the number of machines of a wave that are down.
+func (f *fakePlatform) countDown(w fleet.Wave) int {
+	n := 0
+	for _, m := range f.machines {
+		if m.State == fleet.MachineInUpkeep && slices.Contains(w.Machines, m.ID) {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *fakePlatform) plan(p *upkeep.Planner, waves ...fleet.Wave) upkeep.Actions {
 	return p.Plan(f.now, upkeep.Snapshot{
 		Waves: waves, Machines: slices.Clone(f.machines), ReadAt: f.now,
@@ -128,6 +139,44 @@
 	}
 }
 
+// TestOverlappingWavesKeepTheirLimits carries out two waves that share machines while
+// owners change and answers are lost. A machine that is down for one of them counts
+// towards the limits of both: no upkeep may begin beyond the limit of its wave, or of
+// another that goes on and contains the machine.
+func TestOverlappingWavesKeepTheirLimits(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		f := newFakePlatform(9)
+		first, second := wave(6, 1+random.IntN(2)), wave(9, 1+random.IntN(2))
+		second.Number, second.Machines = 8, second.Machines[3:]
+		recorded := map[int64]upkeep.Progress{}
+		p := upkeep.New(recorded)
+		for p.HasOpenWave([]fleet.Wave{first, second}) {
+			must.Less(t, 2*time.Minute, f.now, must.Sprintf("seed %d", seed))
+			f.advance(300 * time.Millisecond)
+			if random.IntN(10) == 0 {
+				p = upkeep.New(recorded)
+			}
+			for _, o := range f.plan(p, first, second).Orders {
+				p.RecordOrder(o.Wave, o.Machine)
+				recorded[o.Wave] = clone(p.Progress(o.Wave))
+				verdict := f.order(o)
+				for _, w := range []fleet.Wave{first, second} {
+					if w.Number == o.Wave || p.HasOpenWave([]fleet.Wave{w}) {
+						must.LessEq(t, w.MaxDown, f.countDown(w), must.Sprintf("seed %d, wave %d", seed, w.Number))
+					}
+				}
+				if random.IntN(4) == 0 {
+					verdict = 0
+				}
+				p.RecordVerdict(f.now, o.Wave, o.Machine, verdict)
+				recorded[o.Wave] = clone(p.Progress(o.Wave))
+			}
+		}
+		must.MapLen(t, 12, f.serviced, must.Sprintf("seed %d", seed))
+	}
+}
+
 func clone(p upkeep.Progress) upkeep.Progress {
 	p.Ordered, p.Begun = slices.Clone(p.Ordered), slices.Clone(p.Begun)
 	return p
