Space plans by their cost

Callers of the large site saw starts late by seconds as soon as processor time was short. Each answer of a worker triggered a plan of its own, some 4,000 a second on the owner of 890 workers, and each of them walks the waiting steps.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"github.com/siskinvane/siskinvane/internal/platform/store"
 	"github.com/siskinvane/siskinvane/internal/process/bootclock"
 	"github.com/siskinvane/siskinvane/internal/process/event"
+	"github.com/siskinvane/siskinvane/internal/process/pause"
 	"github.com/siskinvane/siskinvane/internal/scheduler"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 	"github.com/siskinvane/siskinvane/internal/version/queue"
@@ -310,7 +311,8 @@
 	return age < scheduler.AuthorityBound && d.shard.HasQuorum(d.Clock())
 }
 
-// planLoop makes a plan periodically and whenever one is requested.
+// planLoop makes a plan periodically and whenever one is requested, but leaves a pause
+// after each plan.
 func (d *Dispatcher) planLoop() {
 	ticker := time.NewTicker(scheduler.PlanPeriod)
 	defer ticker.Stop()
@@ -325,7 +327,12 @@
 			d.reportWaiting()
 			d.reportOrders()
 		}
+		started := d.Clock()
 		d.plan()
+		took := d.Clock() - started
+		d.timer("plans").Update(took)
+		// The loop ends with the context.
+		_ = pause.For(d.ctx, planPause(took))
 	}
 }
 
