Skip records that no owner can work with, and bound the tasks of a job

Found while looking for messages that end a process. A submission record whose steps depend on steps that do not exist, or have an impossible number of tasks, made every owner that read it panic, one host after the other; the same submission in a call between hosts ended the owner. One accepted job of 256 steps of 10,000 tasks would have taken the memory of each owner in turn.

Change: submissions are checked where they are decoded, from the log and from other hosts; an unreadable one is logged (as before) and the records beside it are applied. A caller's job has at most 50,000 tasks.

--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -40,9 +40,15 @@
 
 var errNotOwner = errors.New("not sure to own the shard")
 
-// Propose decides on a proposal as the shard's owner and writes its record.
+// Propose decides on a proposal as the shard's owner and writes its record. A submission
+// is read from the record, which is checked.
 func (s *Service) Propose(p Proposal, v *Verdict) error {
 	var err error
+	if p.Submission != nil {
+		if p.ID, p.Submission, err = job.DecodeSubmission(p.Record); err != nil {
+			return err
+		}
+	}
 	*v, err = s.node.decideProposal(s.node.ctx, p)
 	return err
 }
--- a/internal/scheduler/job/job.go
+++ b/internal/scheduler/job/job.go
@@ -85,6 +85,8 @@
 	maxSteps        = 256
 	maxTasks        = 10_000
 	maxOccurrences  = 100_000
+	// maxTasksPerOccurrence bounds the memory that one job takes: some 200 bytes a task.
+	maxTasksPerOccurrence = 50_000
 )
 
 const idLength = 16
@@ -102,11 +104,26 @@
 	return ID(text), nil
 }
 
-// Validate returns an error for the first invalid field, or nil.
+// Validate returns an error for the first invalid field of a job that a caller submits,
+// or nil.
 func (s *Spec) Validate() error {
-	switch {
-	case len(s.Payload) > maxPayloadBytes:
+	if len(s.Payload) > maxPayloadBytes {
 		return fmt.Errorf("payload: %d bytes, at most %d are allowed", len(s.Payload), maxPayloadBytes)
+	}
+	if err := s.validateStructure(); err != nil {
+		return err
+	}
+	if total := s.TasksPerOccurrence(); total > maxTasksPerOccurrence {
+		return fmt.Errorf("steps: %d tasks in all, at most %d are allowed", total, maxTasksPerOccurrence)
+	}
+	return nil
+}
+
+// validateStructure returns an error for the first field that the scheduler cannot work
+// with, or nil. It holds for records of the log as well: one that fails it would end the
+// process of every owner that reads it.
+func (s *Spec) validateStructure() error {
+	switch {
 	case len(s.Steps) == 0:
 		return fmt.Errorf("steps: at least one is needed")
 	case len(s.Steps) > maxSteps:
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -163,11 +163,22 @@
 	if kind != submissionKey {
 		return "", nil, fmt.Errorf("record %q is no submission", r.Key)
 	}
+	s, err := decodeSubmission(id, r.Value)
+	return id, s, err
+}
+
+// decodeSubmission decodes the value of a submission record and checks what the scheduler
+// relies on.
+func decodeSubmission(id ID, value []byte) (*Submission, error) {
 	s := &Submission{}
-	if err := cbor.Unmarshal(r.Value, s); err != nil {
-		return "", nil, fmt.Errorf("submission of job %s: %w", id, err)
+	err := cbor.Unmarshal(value, s)
+	if err == nil {
+		err = s.Spec.validateStructure()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("submission of job %s: %w", id, err)
 	}
-	return id, s, nil
+	return s, nil
 }
 
 // ProgressRecord returns the progress record of a job.
--- a/internal/scheduler/job/table.go
+++ b/internal/scheduler/job/table.go
@@ -277,9 +277,9 @@
 	if e.Submission != nil {
 		return nil, nil
 	}
-	s := &Submission{}
-	if err := cbor.Unmarshal(value, s); err != nil {
-		return nil, fmt.Errorf("submission of job %s: %w", id, err)
+	s, err := decodeSubmission(id, value)
+	if err != nil {
+		return nil, err
 	}
 	e.Submission = s
 	return e, nil
