Check the permission to act after the lease of a start was computed

Found while looking for processes that act on a permission that has run out: an owner that was suspended between the check and the computation of the lease sent a start order whose lease counted from its wake-up. A later owner waits only for leases that the earlier one could grant while it might act, so the task could run twice on a worker that had not seen the later token.

Change: the lease is computed first. TestSuspendedOwnerGrantsNoNewLease failed before (lease 4 s too long). Renewals already had this order; stops and throttles grant nothing, and are checked as they go out.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -387,13 +387,15 @@
 }
 
 func (d *Dispatcher) sendStart(a scheduler.StartAction, o *windowOrder) {
-	mayAct := d.MayAct()
 	sent, current, wanted := d.beginStart(a, o)
 	if !wanted {
 		d.counter("starts.withdrawn").Inc(1)
 		signal(d.planRequested)
 		return
 	}
+	// The lease counts from before this check. A host that is suspended after it cannot
+	// grant a lease that a later owner does not wait for.
+	mayAct := d.MayAct()
 	d.timer("starts.queued").Update(sent - o.addedAt)
 	a = current
 	answer, err := fleet.Answer{}, ErrFenced
