--- a/internal/process/maintain/maintain.go
+++ b/internal/process/maintain/maintain.go
@@ -190,7 +190,8 @@
 		return
 	}
 	m.planner.RecordOrder(o.Wave, o.Machine)
-	if !m.recordWave(ctx, o.Wave) {
+	// The host may have been suspended while it waited for the record.
+	if !m.recordWave(ctx, o.Wave) || !m.Shard.MayAct() {
 		return
 	}
 	verdict, err := m.Machines.Upkeep(ctx, fleet.UpkeepOrder{Machine: o.Machine, Wave: o.Wave, Holder: m.Holder, Token: m.Token})
--- a/internal/process/maintain/maintain_test.go
+++ b/internal/process/maintain/maintain_test.go
@@ -38,6 +38,9 @@
 	recordErr, listErr error
 	verdict            fleet.MachineVerdict
 	mayNotAct          bool
+	// suspendAtWrite is set if the host loses its permission to act while it waits for
+	// the next record.
+	suspendAtWrite bool
 }
 
 func (s *fakePlatform) now() time.Duration { return time.Since(s.started) }
@@ -72,6 +75,7 @@
 	if s.recordErr == nil {
 		s.records = append(s.records, r)
 	}
+	s.mayNotAct = s.mayNotAct || s.suspendAtWrite
 	return s.recordErr
 }
 
@@ -189,6 +193,17 @@
 	})
 }
 
+// TestNoOrderAfterSuspension guards against an order of an owner that was suspended while
+// it recorded it: the next owner may have ordered the same machine meanwhile.
+func TestNoOrderAfterSuspension(t *testing.T) {
+	runMaintainer(t, func(s *fakePlatform, _ *Config) { s.suspendAtWrite = true }, func(s *fakePlatform) {
+		s.cluster.DeclareWave(1, 4, "w1", "w2")
+		time.Sleep(10 * time.Second)
+		s.withLock(func() { must.Positive(t, len(s.records)) })
+		s.withLock(func() { must.Zero(t, s.orderCount) })
+	})
+}
+
 // TestNextOwnerContinues: upkeep that an earlier owner recorded as done is not ordered
 // again.
 func TestNextOwnerContinues(t *testing.T) {
