Tell a caller at once that a job is open while the store is away, and never refuse its repetition

Cause: a write whose outcome was unknown was tried again until the caller's deadline, also when the host knew that the store did not answer; and a host forgot a write whose outcome it did not know as soon as it had told its caller.

Change: once the store has not answered for 1 s such a request ends with 504 and a Retry-After. A job of which only another host has an open write of its own can still be refused; that host's caller was told that it is open.

--- a/internal/process/node/direct.go
+++ b/internal/process/node/direct.go
@@ -108,7 +108,8 @@
 }
 
 // appendBatch makes one append and reports whether it succeeded. Records that may have
-// been stored go back to the head of the queue while their callers wait.
+// been stored go back to the head of the queue while their callers wait and the store is
+// not known to be away.
 func (d *directWriter) appendBatch(batch []*directWrite) bool {
 	records := recordsOf(batch)
 	_, err := d.node.Store.Append(d.node.ctx, d.node.partition, records, nil)
@@ -122,7 +123,7 @@
 		switch {
 		case err == nil || !w.mayBeStored:
 			w.result <- err
-		case w.ctx.Err() == nil && d.node.ctx.Err() == nil:
+		case w.ctx.Err() == nil && d.node.ctx.Err() == nil && !d.node.storeAway():
 			retry = append(retry, w)
 		default:
 			w.result <- fmt.Errorf("%w: %v", platform.ErrOutcomeUnknown, err)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -106,6 +106,7 @@
 	// leaving is set once the node stops; from then on it does not take over the shard.
 	leaving atomic.Bool
 	direct  directWriter
+	open    *openWrites
 
 	// oldOwner is the epoch of the latest owner seen that lacks Service.ProposeJob.
 	oldOwner atomic.Uint64
@@ -137,6 +138,7 @@
 		probes: peer.NewClientOn(c.Network), watch: ownerWatch{aliveAt: c.Clock()}, handBackAt: c.Clock() - handBackInterval,
 	}
 	n.direct.node = n
+	n.open = newOpenWrites()
 	n.storeHealth = &storeHealth{logger: c.Logger, clock: c.Clock, failedSince: map[string]time.Duration{}}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.reader = keyed.NewReader(c.Store, n.partition)
--- a/internal/process/node/write.go
+++ b/internal/process/node/write.go
@@ -65,19 +65,26 @@
 // *RefusedError, means that the record is not in the log; after any other error it may
 // be.
 func (n *Node) write(ctx context.Context, p Proposal) error {
+	repeated := n.open.mayBeStored(n.Clock(), p.ID)
 	v, err := n.propose(ctx, p)
 	switch {
 	case err == nil && v.Written:
 		n.applyRecords([]store.Record{p.Record})
 		return nil
-	case err == nil && v.Refused != nil:
+	case err == nil && v.Refused != nil && !repeated:
 		return &RefusedError{*v.Refused}
 	}
 	if err != nil {
 		n.reportOwnerUnreachable("record", err, logrus.Fields{"job": p.ID})
 	}
-	mayBeStored := v.Unknown || errors.Is(err, platform.ErrOutcomeUnknown)
-	return n.appendDirect(ctx, p, mayBeStored)
+	unknown := v.Unknown || errors.Is(err, platform.ErrOutcomeUnknown)
+	if unknown {
+		n.open.note(n.Clock(), p.ID)
+	}
+	end := n.open.begin(p.ID)
+	err = n.appendDirect(ctx, p, unknown || repeated)
+	end(n.Clock(), OutcomeUnknown(err))
+	return err
 }
 
 // propose lets the owner write. After an error that matches platform.ErrOutcomeUnknown
@@ -143,29 +150,38 @@
 		if _, known := n.table.Get(p.ID); known {
 			return Verdict{Written: true}, nil
 		}
-		if a := d.Admit(p.Submission); !a.Admitted {
+		if a := d.Admit(p.Submission); !a.Admitted && !n.open.mayBeStored(n.Clock(), p.ID) {
 			return Verdict{Refused: &a}, nil
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
+	end := n.open.begin(p.ID)
 	err := d.Write(ctx, p.Record)
-	return Verdict{Written: err == nil, Unknown: err != nil && !errors.Is(err, store.ErrUnavailable)}, nil
+	v := Verdict{Written: err == nil, Unknown: err != nil && !errors.Is(err, store.ErrUnavailable)}
+	end(n.Clock(), v.Unknown)
+	return v, nil
 }
 
 // appendDirect appends a record without the owner. While it is unknown whether the
-// record is in the log it retries until ctx is done.
+// record is in the log it retries until ctx is done or the store is known to be away.
 func (n *Node) appendDirect(ctx context.Context, p Proposal, mayBeStored bool) error {
-	if !mayBeStored && n.Outage() > outageThreshold {
-		return fmt.Errorf("%w: no answer for %v", store.ErrUnavailable, n.Outage().Round(time.Millisecond))
+	if !n.storeAway() {
+		return n.direct.append(ctx, p.Record, mayBeStored)
+	}
+	reason := store.ErrUnavailable
+	if mayBeStored {
+		reason = platform.ErrOutcomeUnknown
 	}
-	return n.direct.append(ctx, p.Record, mayBeStored)
+	return fmt.Errorf("%w: the store has not answered for %v", reason, n.Outage().Round(time.Millisecond))
 }
 
 // outageThreshold is the time without an answer from the store, five joins, after which
-// new records are refused without an attempt to append them.
+// it counts as away: callers are told at once instead of waiting.
 const outageThreshold = time.Second
 
+func (n *Node) storeAway() bool { return n.Outage() > outageThreshold }
+
 // Outage returns how long the store has not answered this host. A host that has left the
 // group sends no joins, so its reads of the log count, which begin at least every
 // followInterval.
--- a/internal/process/node/write_test.go
+++ b/internal/process/node/write_test.go
@@ -154,6 +154,43 @@
 	})
 }
 
+// TestRepeatedRequestIsNotRefused guards against a caller that is told that its job will
+// never run although it does: the answer to its first request was lost while the append
+// was under way, and its second one met a store that was known to be away. Neither may it
+// be held until its deadline, as nothing can be recorded.
+func TestRepeatedRequestIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster()
+		n := c.startHost(t, "h1", 1)
+		time.Sleep(2 * time.Second)
+		c.view("h1").Set(memstore.LateAppends, 0)
+		must.ErrorIs(t, submit(n, 200*time.Millisecond), platform.ErrOutcomeUnknown)
+		c.view("h1").Set(memstore.Unresponsive, 0)
+		time.Sleep(1500 * time.Millisecond)
+		started := time.Now()
+		err := submit(n, 3*time.Second)
+		must.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+		must.True(t, OutcomeUnknown(err))
+		must.Less(t, 50*time.Millisecond, time.Since(started))
+		c.stop(n)
+	})
+}
+
+// TestOpenRequestEndsWithKnownOutage: a request whose append got no answer is told so once
+// the store is known to be away, long before its deadline.
+func TestOpenRequestEndsWithKnownOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster()
+		n := c.startHost(t, "h1", 1)
+		time.Sleep(2 * time.Second)
+		c.view("h1").Set(memstore.Unresponsive, 0)
+		started := time.Now()
+		must.ErrorIs(t, submit(n, 10*time.Second), platform.ErrOutcomeUnknown)
+		must.Less(t, 2500*time.Millisecond, time.Since(started))
+		c.stop(n)
+	})
+}
+
 // TestBacklogNeedsSeveralAppends: a burst of jobs at a slow store piles up more bytes
 // than one append may hold.
 func TestBacklogNeedsSeveralAppends(t *testing.T) {
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -152,12 +152,16 @@
 
 // retryLater answers that the request had no effect and can be retried after delay.
 func (s *Server) retryLater(c *app.RequestContext, delay time.Duration) {
-	c.Response.Header.Set("Retry-After", strconv.Itoa(int(delay.Round(time.Second)/time.Second)))
+	setRetryAfter(c, delay)
 	c.SetStatusCode(503)
 }
 
-// submit accepts a job. It answers 504 if the outcome is unknown, and 503 with
-// Retry-After if the job was not accepted.
+func setRetryAfter(c *app.RequestContext, delay time.Duration) {
+	c.Response.Header.Set("Retry-After", strconv.Itoa(int(delay.Round(time.Second)/time.Second)))
+}
+
+// submit accepts a job. It answers 504 if the outcome is unknown, and 503 if the job was
+// not accepted, both with Retry-After.
 func (s *Server) submit(ctx context.Context, c *app.RequestContext, q *queue.Queue, id job.ID) {
 	spec, err := s.codec.DecodeJob(c.Request.Body())
 	if err != nil {
@@ -173,6 +177,7 @@
 	case err == nil:
 		c.SetStatusCode(200)
 	case node.OutcomeUnknown(err):
+		setRetryAfter(c, retryAfter(s.node.Outage()))
 		c.SetStatusCode(504)
 	case errors.As(err, &refused):
 		s.refuseOverload(c, refused)
