--- a/internal/process/entry/members.go
+++ b/internal/process/entry/members.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/panjf2000/ants/v2"
+	"github.com/sirupsen/logrus"
 	"github.com/siskinvane/siskinvane/internal/connection/share"
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/process/directory"
+	"github.com/siskinvane/siskinvane/internal/process/event"
 	"github.com/siskinvane/siskinvane/internal/request/idempotency"
 )
 
@@ -78,6 +80,7 @@
 	defer e.loops.Done()
 	pool, err := ants.NewPool(maxConcurrentHellos)
 	if err != nil {
+		event.MembersNotFollowed.Log(e.config.Logger, logrus.Fields{"error": fmt.Errorf("start pool for hellos: %w", err)})
 		return
 	}
 	defer pool.Release()
--- a/internal/process/member/exchange.go
+++ b/internal/process/member/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
@@ -29,6 +30,9 @@
 	OnHeartbeat func(Heartbeat)
 	View        *View
 	Now         func() time.Time
+	// OnEncodeError is called if the host's heartbeat cannot be encoded. Nothing is sent
+	// then.
+	OnEncodeError func(error)
 }
 
 // Traffic counts datagrams and bytes, headers included.
@@ -131,6 +135,7 @@
 	}
 	e.mu.Unlock()
 	if err != nil {
+		e.config.OnEncodeError(fmt.Errorf("encode heartbeat of %s: %w", e.config.Host, err))
 		return
 	}
 	now := e.config.Now()
--- a/internal/process/placer/placer.go
+++ b/internal/process/placer/placer.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/process/directory"
+	"github.com/siskinvane/siskinvane/internal/process/event"
 	"github.com/siskinvane/siskinvane/internal/process/member"
 	"github.com/siskinvane/siskinvane/internal/process/peer"
 	"github.com/siskinvane/siskinvane/internal/process/record"
@@ -129,6 +130,9 @@
 	p.exchange, err = member.Listen(host.Peer, member.ExchangeConfig{
 		Host: host.ID, Incarnation: p.writerID.Incarnation, Facts: p.facts, Targets: p.heartbeatTargets,
 		OnHeartbeat: p.handleHeartbeat, View: p.members, Now: p.config.Now,
+		OnEncodeError: func(err error) {
+			event.HeartbeatNotSent.Log(p.config.Logger, logrus.Fields{"error": err})
+		},
 	})
 	if err != nil {
 		return err
--- a/internal/process/shard/snapshot.go
+++ b/internal/process/shard/snapshot.go
@@ -79,11 +79,12 @@
 }
 
 // Digest returns a hash of the state. Replicas at the same offset have the same
-// digest.
+// digest. It panics if the encoding fails, which does not happen for the types of this
+// package: a constant in its place would hide that replicas differ.
 func (r *Replayer) Digest() uint64 {
 	data, err := cbor.Marshal(snapshot{r.id, r.next, r.epoch, r.owner, r.sortedSequences(), nil})
 	if err != nil {
-		return 0
+		panic(err)
 	}
 	return xxhash.Sum64(data) ^ r.tasks.Digest()
 }
