--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -119,6 +119,7 @@
 func (d *Dispatcher) Start() {
 	d.goroutines.Go(d.planLoop)
 	d.goroutines.Go(d.recordLoop)
+	d.goroutines.Go(d.measureLag)
 }
 
 // Stop ends all work on the shard after a final record of its progress, for which it
--- a/internal/process/dispatch/window.go
+++ b/internal/process/dispatch/window.go
@@ -18,6 +18,10 @@
 	// its answer, so that orders do not time out because of the queue on the link.
 	growBelow   = 75 * time.Millisecond
 	shrinkAbove = 150 * time.Millisecond
+	// shrinkAboveLagging replaces shrinkAbove for the part of the answer time that is
+	// the process's own lag: fewer orders would not make a slow host faster, but they
+	// must not time out either.
+	shrinkAboveLagging = 280 * time.Millisecond
 	// shrinkFactor is applied to the window at most once per shrinkInterval, since
 	// answers show the effect only after a round trip.
 	shrinkFactor   = 0.7
@@ -42,8 +46,11 @@
 	// orders are the counted orders in the order in which they were added, and some that
 	// have left the window since.
 	orders []*windowOrder
-	// answerTime is the smoothed answer time, an exponentially weighted moving average.
-	answerTime time.Duration
+	// answerTime is the smoothed answer time, an exponentially weighted moving average,
+	// and linkTime the part of it that the process's own lag does not explain.
+	answerTime, linkTime time.Duration
+	// lag is how late the process runs what is due.
+	lag time.Duration
 	// answers counts the answered orders. silent holds the workers that left their last
 	// order unanswered, with the value of answers at that time.
 	answers int
@@ -121,12 +128,13 @@
 	w.withdraw(o)
 	if w.representative(o.worker, answered) {
 		w.answerTime += time.Duration(answerTimeWeight * float64(took-w.answerTime))
+		w.linkTime += time.Duration(answerTimeWeight * float64(max(0, took-w.lag)-w.linkTime))
 	}
 	switch {
 	case w.answerTime < growBelow && answered && used:
 		// Answers to a few orders say nothing of a window that is not used.
 		w.size = min(maxStartWindow, w.size+1)
-	case w.answerTime > shrinkAbove && now-w.shrunkAt >= shrinkInterval:
+	case (w.linkTime > shrinkAbove || w.answerTime > shrinkAboveLagging) && now-w.shrunkAt >= shrinkInterval:
 		w.size = max(minStartWindow, w.size*shrinkFactor)
 		w.shrunkAt = now
 	}
--- a/internal/process/dispatch/window_test.go
+++ b/internal/process/dispatch/window_test.go
@@ -51,6 +51,29 @@
 	must.Eq(t, minStartWindow, w.available(now))
 }
 
+// TestLagDoesNotCloseWindow: on a host that is short of processor time answers are slow
+// because the process runs late. The window shrank as on a full link, to two orders, and
+// the owner started next to nothing although its link was free.
+func TestLagDoesNotCloseWindow(t *testing.T) {
+	w := newStartWindow()
+	now := w.answerAll(time.Minute, time.Millisecond, 4*time.Millisecond, 100, "w", true)
+	w.lag = 150 * time.Millisecond
+	now = w.answerAll(now, 2*time.Millisecond, 200*time.Millisecond, 1000, "w", true)
+	must.GreaterEq(t, initialStartWindow+100, w.available(now))
+	now = w.answerAll(now, 2*time.Millisecond, 400*time.Millisecond, 1000, "w", false)
+	must.Eq(t, minStartWindow, w.available(now), must.Sprint("orders time out"))
+}
+
+// TestLagRisesAtOnceAndDecays checks the smoothed lag of a process that was suspended.
+func TestLagRisesAtOnceAndDecays(t *testing.T) {
+	lag := smoothLag(0, 4*time.Second)
+	must.Eq(t, 4*time.Second, lag)
+	for range 20 {
+		lag = smoothLag(lag, 0)
+	}
+	must.Less(t, 10*time.Millisecond, lag)
+}
+
 // TestWindowHoldsBetweenThresholds: a window that always grows or shrinks oscillates.
 func TestWindowHoldsBetweenThresholds(t *testing.T) {
 	w := newStartWindow()
