--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -117,9 +117,10 @@
 	cancelledAt time.Duration
 	// ranOn is the longest time for which a task has run on after cancelledAt.
 	ranOn time.Duration
-	// lastStart is when each task was last started.
-	lastStart map[job.TaskRef]time.Duration
-	done      map[job.TaskRef]bool
+	// lastStart is when each task was last started, lastAttempt the attempt.
+	lastStart   map[job.TaskRef]time.Duration
+	lastAttempt map[job.TaskRef]platform.Attempt
+	done        map[job.TaskRef]bool
 	// acknowledged are the tasks whose successful end the scheduler has acknowledged.
 	acknowledged map[job.TaskRef]bool
 	failures     map[job.TaskRef]int
@@ -243,7 +244,7 @@
 	}
 	c.jobs[id] = &jobModel{
 		spec: s.Spec, duration: duration, fails: fails, maxFailures: s.MaxFailures,
-		done: map[job.TaskRef]bool{}, lastStart: map[job.TaskRef]time.Duration{}, acknowledged: map[job.TaskRef]bool{}, failures: map[job.TaskRef]int{},
+		done: map[job.TaskRef]bool{}, lastStart: map[job.TaskRef]time.Duration{}, lastAttempt: map[job.TaskRef]platform.Attempt{}, acknowledged: map[job.TaskRef]bool{}, failures: map[job.TaskRef]int{},
 	}
 }
 
--- a/internal/standin/cluster/run.go
+++ b/internal/standin/cluster/run.go
@@ -35,11 +35,11 @@
 		lapse := w.bootedAt + time.Duration(w.leaseEnd)
 		switch {
 		case w.leaseEnd > 0 && lapse <= now && lapse < end:
-			c.end(now, w, ref, a, fleet.EndLapsed, c.checkpointAt(lapse, w, ref, a))
+			c.end(lapse, w, ref, a, fleet.EndLapsed, c.checkpointAt(lapse, w, ref, a))
 		case a.stopAt > 0 && a.stopAt <= now && a.stopAt < end:
-			c.end(now, w, ref, a, fleet.EndStopped, c.checkpointAt(a.stopAt, w, ref, a))
+			c.end(a.stopAt, w, ref, a, fleet.EndStopped, c.checkpointAt(a.stopAt, w, ref, a))
 		case end <= now:
-			c.finish(now, t, w, ref, a)
+			c.finish(end, t, w, ref, a)
 		}
 	}
 }
@@ -150,11 +150,15 @@
 	if !c.step(ref).Checkpointing {
 		return ""
 	}
+	if w.stalled {
+		// Without this an attempt that stands still would leave less than no work.
+		return a.checkpoint
+	}
 	done := time.Duration(float64(now-a.startedAt) * w.speed).Truncate(checkpointInterval)
 	if done <= 0 {
 		return a.checkpoint
 	}
-	return fmt.Sprint(int64(a.remainingWork - done))
+	return fmt.Sprint(int64(max(0, a.remainingWork-done)))
 }
 
 // reachable reports whether orders reach the worker.
@@ -206,7 +210,7 @@
 		return fleet.RefusedInvalid
 	}
 	t.started = true
-	t.lastStart[o.Task] = now
+	t.lastStart[o.Task], t.lastAttempt[o.Task] = now, o.Attempt
 	remaining := t.duration(o.Task)
 	if o.Checkpoint != "" {
 		var nanos int64
@@ -324,7 +328,7 @@
 		}
 		if t := c.jobs[e.Task.Job]; t != nil && e.Kind == fleet.EndDone {
 			t.acknowledged[e.Task] = true
-			if !c.step(e.Task).Speculative && w.lapsedAt <= e.at && t.lastStart[e.Task] > e.at {
+			if !c.step(e.Task).Speculative && w.lapsedAt <= e.at && t.lastAttempt[e.Task] > e.Attempt && t.lastStart[e.Task] > e.at {
 				c.recordViolation(now, "TWICE", "%s, done at %v, was started again at %v", e.Task, e.at, t.lastStart[e.Task])
 			}
 		}
