--- a/internal/connection/httpcall/httpcall.go
+++ b/internal/connection/httpcall/httpcall.go
@@ -112,7 +112,7 @@
 		pool = c.oneShot
 	}
 	if err := pool.Do(ctx, req, resp); err != nil {
-		return classify(err)
+		return classify(err, r.Fresh)
 	}
 	return handle(Answer{Status: resp.StatusCode(), Body: resp.Body(), resp: resp})
 }
@@ -139,11 +139,14 @@
 }
 
 // classify wraps err in ErrNotSent if the call got no connection, and in
-// ErrNoAnswer if it failed later.
-func classify(err error) error {
+// ErrNoAnswer if it failed later. fresh is set if the call had a connection of its own.
+func classify(err error, fresh bool) error {
 	var op *net.OpError
 	if errors.Is(err, hertzerrors.ErrNoFreeConns) || errors.As(err, &op) && op.Op == "dial" {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if fresh {
+		return fmt.Errorf("%w on a new connection: %w", ErrNoAnswer, err)
+	}
 	return fmt.Errorf("%w: %w", ErrNoAnswer, err)
 }
--- /dev/null
+++ b/internal/process/node/declarations_test.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/siskinvane/siskinvane/internal/process/event"
+	"github.com/siskinvane/siskinvane/internal/version/queue"
+)
+
+// scriptedDeclarations is a source whose calls end as sent on the channel.
+type scriptedDeclarations chan declarationsReply
+
+type declarationsReply struct {
+	config *queue.Config
+	err    error
+}
+
+// Next implements queue.Source.
+func (s scriptedDeclarations) Next(ctx context.Context) (*queue.Config, error) {
+	select {
+	case r := <-s:
+		return r.config, r.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func version(v int64) *queue.Config { return queue.New(v, nil, nil, queue.Limits{}) }
+
+// linesOf returns the lines of an event.
+func linesOf(h *logtest.Hook, e event.Event) []logrus.Fields {
+	var lines []logrus.Fields
+	for _, entry := range h.AllEntries() {
+		if entry.Data["event"] == e.Number {
+			lines = append(lines, entry.Data)
+		}
+	}
+	return lines
+}
+
+// TestStaleDeclarationsAreVisible checks that logs and metrics tell how old a host's
+// knowledge of the declarations is, and a version that cannot be decoded from a lost store.
+func TestStaleDeclarationsAreVisible(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster()
+		source := make(scriptedDeclarations)
+		logger, hook := logtest.NewNullLogger()
+		c.declarations, c.logger = source, logger
+		n := c.startHost(t, "h1", 1)
+		gauge := func(name string) int64 { return n.Metrics.Get(name).(metrics.Gauge).Value() }
+
+		source <- declarationsReply{config: version(1)}
+		time.Sleep(3 * time.Second)
+		must.Eq(t, 3000, gauge("declarations.age_ms"))
+		source <- declarationsReply{err: errors.New("no answer")}
+		time.Sleep(time.Second)
+		source <- declarationsReply{config: version(4)}
+		synctest.Wait()
+		must.Eq(t, 4, gauge("declarations.version"))
+		must.Eq(t, 900, gauge("declarations.age_ms"), must.Sprint("the read was sent 0.1 s after the failure"))
+		must.Eq[any](t, int64(3000), linesOf(hook, event.StoreLost)[0]["waited_ms"])
+		must.Eq[any](t, int64(4000), linesOf(hook, event.StoreRegained)[0]["stale_ms"])
+		must.Eq[any](t, int64(4000), linesOf(hook, event.QueuesInForce)[1]["stale_ms"])
+
+		source <- declarationsReply{err: &queue.UnusableError{Err: errors.New("bad")}}
+		synctest.Wait()
+		must.Len(t, 1, linesOf(hook, event.StoreLost))
+		must.Eq[any](t, int64(4), linesOf(hook, event.QueuesRefused)[0]["version"])
+		c.stop(n)
+	})
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -82,6 +83,9 @@
 	// connection, which must not be one of peers.
 	probes *peer.Client
 	config atomic.Pointer[queue.Config]
+	// declarationsReadAt is when the last answered read of the declarations was sent, in
+	// nanoseconds of Clock; before the first one, when the node was started.
+	declarationsReadAt atomic.Int64
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -139,12 +143,16 @@
 	}
 	n.direct.node = n
 	n.open = newOpenWrites()
-	n.storeHealth = &storeHealth{logger: c.Logger, clock: c.Clock, failedSince: map[string]time.Duration{}}
+	n.storeHealth = newStoreHealth(c.Logger, c.Clock)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.reader = keyed.NewReader(c.Store, n.partition)
 	memberName := fmt.Sprintf("%s-%d", c.Host, time.Now().UnixNano())
 	n.member = group.New(c.Store, c.Clock, groupName, memberName, JobTopic)
 	n.observer = group.New(c.Store, c.Clock, observerGroupName, memberName, JobTopic)
+	n.declarationsReadAt.Store(int64(c.Clock()))
+	if err := n.registerGauges(); err != nil {
+		return nil, err
+	}
 	var err error
 	if n.server, err = peer.ListenOn(c.Network, c.Peer, peerService, &Service{node: n}); err != nil {
 		return nil, err
@@ -205,25 +213,56 @@
 // ones.
 func (n *Node) followDeclarations() {
 	for n.ctx.Err() == nil {
+		sent := n.Clock()
 		c, err := n.Declarations.Next(n.ctx)
-		if err != nil {
-			n.storeHealth.reportFailure("declarations", err)
+		var unusable *queue.UnusableError
+		if err != nil && !errors.As(err, &unusable) {
+			n.storeHealth.reportFailure("declarations", sent, err)
 			n.sleep(retryDelay)
 			continue
 		}
-		n.storeHealth.reportSuccess("declarations")
+		stale := n.storeHealth.reportSuccess("declarations", sent)
+		n.declarationsReadAt.Store(int64(sent))
+		if err != nil {
+			event.QueuesRefused.Log(n.Logger, logrus.Fields{"error": err, "version": n.declaredVersion()})
+		}
 		current := n.config.Load()
 		if c == nil || current != nil && c.Version <= current.Version {
 			continue
 		}
 		n.config.Store(c)
-		event.QueuesInForce.Log(n.Logger, logrus.Fields{"version": c.Version, "queues": len(c.Queues)})
+		event.QueuesInForce.Log(n.Logger, logrus.Fields{"version": c.Version, "queues": len(c.Queues), "stale_ms": stale.Milliseconds()})
 		if d := n.ownedDispatcher(); d != nil {
 			d.SetConfig(c)
 		}
 	}
 }
 
+// declaredVersion returns the version of the declarations in force, or 0 before the first
+// one.
+func (n *Node) declaredVersion() int64 {
+	if c := n.config.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// registerGauges registers the metrics that are read from the node's state.
+func (n *Node) registerGauges() error {
+	gauges := map[string]func() int64{
+		"declarations.version": n.declaredVersion,
+		"declarations.age_ms": func() int64 {
+			return (n.Clock() - time.Duration(n.declarationsReadAt.Load())).Milliseconds()
+		},
+	}
+	for name, value := range gauges {
+		if err := n.Metrics.Register(name, metrics.NewFunctionalGauge(value)); err != nil {
+			return fmt.Errorf("register metric %s: %w", name, err)
+		}
+	}
+	return nil
+}
+
 const (
 	retryDelay = 100 * time.Millisecond
 	// followInterval is the time between two reads of the log. Hosts notify the owner
@@ -240,12 +279,13 @@
 // followLog keeps the table up to date.
 func (n *Node) followLog() {
 	for n.ctx.Err() == nil {
+		sent := n.Clock()
 		if err := n.Refresh(n.ctx); err != nil {
-			n.storeHealth.reportFailure("jobs", err)
+			n.storeHealth.reportFailure("jobs", sent, err)
 			n.sleep(retryDelay)
 			continue
 		}
-		n.storeHealth.reportSuccess("jobs")
+		n.storeHealth.reportSuccess("jobs", sent)
 		if n.ownedDispatcher() != nil {
 			n.sleep(ownerFollowInterval)
 		} else {
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -93,7 +93,7 @@
 	n.background.Go(func() { n.followWorkers(ownerCtx, d) })
 	n.startUpkeep(ownerCtx, d, previous)
 	n.count("shard.taken_over")
-	event.OwnershipGained.Log(n.Logger, logrus.Fields{"epoch": epoch, "claim": own.Claim, "previous": previous.Host, "jobs": len(n.table.All())})
+	event.OwnershipGained.Log(n.Logger, logrus.Fields{"epoch": epoch, "claim": own.Claim, "previous": previous.Host, "jobs": len(n.table.All()), "queues_version": n.declaredVersion()})
 	return nil
 }
 
@@ -183,15 +183,16 @@
 func (n *Node) followWorkers(ctx context.Context, d *dispatch.Dispatcher) {
 	registry := n.Registry()
 	for ctx.Err() == nil {
+		sent := n.Clock()
 		changes, err := registry.Next(ctx)
 		if err != nil && !errors.Is(err, context.Canceled) {
-			n.storeHealth.reportFailure("workers' entries", err)
+			n.storeHealth.reportFailure("workers' entries", sent, err)
 		}
 		for _, unreadable := range changes.Unreadable {
 			event.EntryUnreadable.Log(n.Logger, logrus.Fields{"error": unreadable})
 		}
 		if err == nil {
-			n.storeHealth.reportSuccess("workers' entries")
+			n.storeHealth.reportSuccess("workers' entries", sent)
 			d.SetWorkers(changes)
 		}
 		// The loop ends with the context.
--- a/internal/process/node/standby.go
+++ b/internal/process/node/standby.go
@@ -246,11 +246,12 @@
 func (n *Node) leaveAsStandby(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, group.TTL)
 	defer cancel()
+	sent := n.Clock()
 	if err := n.leaveMember(ctx); err != nil {
-		n.storeHealth.reportFailure("group", err)
+		n.storeHealth.reportFailure("group", sent, err)
 		return
 	}
-	n.storeHealth.reportSuccess("group")
+	n.storeHealth.reportSuccess("group", sent)
 }
 
 // leaveMember leaves the group unless the host has left it already.
--- a/internal/process/node/storehealth.go
+++ b/internal/process/node/storehealth.go
@@ -17,33 +17,62 @@
 	logger *logrus.Logger
 	clock  bootclock.Clock
 
-	mu          sync.Mutex
-	failedSince map[string]time.Duration
+	mu   sync.Mutex
+	uses map[string]*storeUse
 }
 
-// reportFailure records that the store failed to serve a use. Cancelled calls are
-// ignored.
-func (h *storeHealth) reportFailure(use string, err error) {
+// storeUse is the state of one use. Its times are those of the node's clock.
+type storeUse struct {
+	// answeredAt is when the last call that was answered was sent, or the first report.
+	answeredAt time.Duration
+	// failing is set during an outage, which was noticed at failedAt.
+	failing  bool
+	failedAt time.Duration
+}
+
+func newStoreHealth(logger *logrus.Logger, clock bootclock.Clock) *storeHealth {
+	return &storeHealth{logger: logger, clock: clock, uses: map[string]*storeUse{}}
+}
+
+// use returns the state of a use. The caller holds mu.
+func (h *storeHealth) use(name string) *storeUse {
+	u, known := h.uses[name]
+	if !known {
+		u = &storeUse{answeredAt: h.clock()}
+		h.uses[name] = u
+	}
+	return u
+}
+
+// reportFailure records that a call for a use, sent at the given time, failed. Cancelled
+// calls are ignored.
+func (h *storeHealth) reportFailure(name string, sent time.Duration, err error) {
 	if errors.Is(err, context.Canceled) {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if _, failing := h.failedSince[use]; failing {
+	u := h.use(name)
+	if u.failing {
 		return
 	}
-	h.failedSince[use] = h.clock()
-	event.StoreLost.Log(h.logger, logrus.Fields{"use": use, "error": err})
+	u.failing, u.failedAt = true, h.clock()
+	event.StoreLost.Log(h.logger, logrus.Fields{"use": name, "error": err, "waited_ms": (u.failedAt - sent).Milliseconds()})
 }
 
-// reportSuccess records that the store served a use.
-func (h *storeHealth) reportSuccess(use string) {
+// reportSuccess records that a call for a use, sent at the given time, was answered. It
+// returns the time since the answered call before it was sent.
+func (h *storeHealth) reportSuccess(name string, sent time.Duration) (stale time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	since, failing := h.failedSince[use]
-	if !failing {
-		return
+	u, now := h.use(name), h.clock()
+	stale = now - u.answeredAt
+	u.answeredAt = sent
+	if u.failing {
+		u.failing = false
+		event.StoreRegained.Log(h.logger, logrus.Fields{
+			"use": name, "away_ms": (now - u.failedAt).Milliseconds(), "stale_ms": stale.Milliseconds(),
+		})
 	}
-	delete(h.failedSince, use)
-	event.StoreRegained.Log(h.logger, logrus.Fields{"use": use, "away_ms": (h.clock() - since).Milliseconds()})
+	return stale
 }
--- a/internal/process/node/takeover_test.go
+++ b/internal/process/node/takeover_test.go
@@ -56,7 +56,7 @@
 		},
 		partition: store.Partition{Topic: JobTopic}, table: job.NewTable(), readToken: make(chan struct{}, 1),
 	}
-	n.storeHealth = &storeHealth{logger: logger, clock: n.Clock, failedSince: map[string]time.Duration{}}
+	n.storeHealth = newStoreHealth(logger, n.Clock)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.reader = keyed.NewReader(view, n.partition)
 	f.node = n
--- a/internal/process/node/write_test.go
+++ b/internal/process/node/write_test.go
@@ -56,6 +56,10 @@
 	started time.Time
 	// wrap, if set, wraps the store of each host that is started.
 	wrap func(store.Store) store.Store
+	// declarations, if set, replaces the one version of the declarations, and logger the
+	// one that discards its lines.
+	declarations queue.Source
+	logger       *logrus.Logger
 }
 
 func newTestCluster() *testCluster {
@@ -73,8 +77,15 @@
 // startLinkedHost is like startHost for a host whose link has the given bandwidth.
 func (c *testCluster) startLinkedHost(t *testing.T, name string, last byte, linkMbps float64) *Node {
 	t.Helper()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
+	logger := c.logger
+	if logger == nil {
+		logger = logrus.New()
+		logger.SetOutput(io.Discard)
+	}
+	declarations := c.declarations
+	if declarations == nil {
+		declarations = &staticDeclarations{}
+	}
 	var s store.Store = c.view(name)
 	if c.wrap != nil {
 		s = c.wrap(s)
@@ -84,7 +95,7 @@
 		Host: platform.HostID(name), Peer: netip.AddrPortFrom(ip, 7720), Network: c.network.Host(ip), LinkMbps: linkMbps,
 		Logger: logger, Metrics: metrics.NewRegistry(), Clock: func() time.Duration { return time.Since(c.started) },
 		Retention: time.Minute, AppendBytes: memstore.MaxAppendBytes,
-		Store: s, Registry: func() fleet.Registry { return noWorkers{} }, Declarations: &staticDeclarations{},
+		Store: s, Registry: func() fleet.Registry { return noWorkers{} }, Declarations: declarations,
 	})
 	must.NoError(t, err)
 	return n
--- a/internal/version/queue/queue.go
+++ b/internal/version/queue/queue.go
@@ -97,9 +97,22 @@
 	return found
 }
 
+// UnusableError reports a version of the declarations that cannot be decoded. The version
+// before stays in force.
+type UnusableError struct {
+	Err error
+}
+
+// Error implements error.
+func (e *UnusableError) Error() string { return "declarations not usable: " + e.Err.Error() }
+
+// Unwrap returns the error of the decoder.
+func (e *UnusableError) Unwrap() error { return e.Err }
+
 // Source follows the declarations. It is not safe for concurrent use.
 type Source interface {
 	// Next waits a bounded time for a change and returns the newest version, or
-	// nil if there was none.
+	// nil if there was none. It fails with *UnusableError if the newest version cannot be
+	// decoded; the next call goes on after it.
 	Next(ctx context.Context) (*Config, error)
 }
