Repeat reads of the operators' topic whose answer is overdue

What callers saw: requests handled by an older version of the declarations, on all hosts, up to 2 s after it should have been in force.

Cause: a host learns of a version by one read at a time, which waits 2 s for a change and was given up after 3.5 s, longer than the 2 s in which a version has to be in force. A read whose answer does not come (silent store or partition, dead connection, lost history) made the host blind for that long, and again if it was sent once more before the store answered: up to 3.6 s after the store's return. A host that starts reads the newest records, whose timeout doubles with each silent call.

Change: keyed.Follower takes the bound (bounds.declarations_ms) and does not rely on one answer: a read waits half of the bound for a change; a quarter later it is repeated without waiting, on a new connection, and so on each quarter, at most three at a time. The first answer counts, so that a slow link is not cut off. After a failure the first repetition comes after a quarter. A version is known three quarters of the bound after it was written, or a quarter after the store answers again, plus an answer.

--- a/internal/process/event/job.go
+++ b/internal/process/event/job.go
@@ -40,6 +40,7 @@
 	StoreRegained   = declare(7302, logrus.InfoLevel, "store regained")
 	QueuesInForce   = declare(7303, logrus.InfoLevel, "queues in force")
 	QueuesRefused   = declare(7304, logrus.WarnLevel, "queues not usable")
+	AnswerOverdue   = declare(7306, logrus.InfoLevel, "store's answer overdue")
 	EntryUnreadable = declare(7305, logrus.WarnLevel, "worker's entry unreadable")
 
 	UpkeepOrdered       = declare(7401, logrus.InfoLevel, "upkeep of a machine ordered")
--- a/internal/process/settings/scheduler.go
+++ b/internal/process/settings/scheduler.go
@@ -44,6 +44,9 @@
 	// MachineLeaseMS is how long machine orders of another owner may be in flight, in
 	// milliseconds; a new owner gives none until then.
 	MachineLeaseMS int64 `json:"machine_lease_ms,omitempty"`
+	// DeclarationsMS is the time within which a version of the declarations has to be in
+	// force after its acknowledgement, in milliseconds. Zero means two seconds.
+	DeclarationsMS int64 `json:"declarations_ms,omitempty"`
 	// ShutdownSeconds is the time between the first signal and the end of the process.
 	ShutdownSeconds float64 `json:"shutdown_s"`
 	// RemoteFactor multiplies the duration of a task that runs away from its data.
@@ -54,9 +57,22 @@
 	AppendBytes int `json:"append_bytes"`
 }
 
+const defaultDeclarationsBound = 2 * time.Second
+
+// DeclarationsBound returns the time within which a version of the declarations has to be
+// in force after its acknowledgement.
+func (b Bounds) DeclarationsBound() time.Duration {
+	if b.DeclarationsMS == 0 {
+		return defaultDeclarationsBound
+	}
+	return Milliseconds(b.DeclarationsMS)
+}
+
 // Limits of the settings' values.
 const (
-	maxBoundMS          = 3_600_000
+	maxBoundMS = 3_600_000
+	// minDeclarationsMS keeps the reads of the declarations to ten a second.
+	minDeclarationsMS   = 200
 	maxShutdownSeconds  = 3600
 	maxRetentionSeconds = 86_400
 	// minAppendBytes fits the largest job that callers may submit.
@@ -93,6 +109,9 @@
 	jsonfield.Range(c, "bounds.max_lease_ms", s.Bounds.MaxLeaseMS, 1, maxBoundMS)
 	jsonfield.Range(c, "bounds.stop_grace_ms", s.Bounds.StopGraceMS, 0, maxBoundMS)
 	jsonfield.Range(c, "bounds.machine_lease_ms", s.Bounds.MachineLeaseMS, 0, maxBoundMS)
+	if s.Bounds.DeclarationsMS != 0 {
+		jsonfield.Range(c, "bounds.declarations_ms", s.Bounds.DeclarationsMS, minDeclarationsMS, maxBoundMS)
+	}
 	jsonfield.Range(c, "bounds.shutdown_s", s.Bounds.ShutdownSeconds, 0, maxShutdownSeconds)
 	jsonfield.Range(c, "bounds.remote_factor", s.Bounds.RemoteFactor, 0, maxRemoteFactor)
 	jsonfield.Range(c, "bounds.retention_s", s.Bounds.RetentionSeconds, 1, maxRetentionSeconds)
--- a/internal/process/settings/scheduler_test.go
+++ b/internal/process/settings/scheduler_test.go
@@ -37,16 +37,17 @@
 
 func TestLoadSchedulerNamesFaults(t *testing.T) {
 	cases := map[string][2]string{
-		"unknown field":  {`"processors": 1`, `"processors": 1, "weight": 3`},
-		"processors":     {`"processors": 1`, `"processors": 0`},
-		"memory_mb":      {`"memory_mb": 284`, `"memory_mb": 1`},
-		"peer":           {`"peer": "10.1.0.1:82"`, `"peer": "10.1.0.1:81"`},
-		"store":          {`"store": "10.9.0.1:80"`, `"store": "10.9.0.1:0"`},
-		"failure_domain": {`"catania"`, `""`},
-		"max_lease_ms":   {`"max_lease_ms": 10000`, `"max_lease_ms": 0`},
-		"append_bytes":   {`"append_bytes": 2097152`, `"append_bytes": 100`},
-		"link_mbps":      {`"link_mbps": 12.5`, `"link_mbps": -1`},
-		"retention_s":    {`"retention_s": 120`, `"retention_s": 0`},
+		"unknown field":   {`"processors": 1`, `"processors": 1, "weight": 3`},
+		"processors":      {`"processors": 1`, `"processors": 0`},
+		"memory_mb":       {`"memory_mb": 284`, `"memory_mb": 1`},
+		"peer":            {`"peer": "10.1.0.1:82"`, `"peer": "10.1.0.1:81"`},
+		"store":           {`"store": "10.9.0.1:80"`, `"store": "10.9.0.1:0"`},
+		"failure_domain":  {`"catania"`, `""`},
+		"max_lease_ms":    {`"max_lease_ms": 10000`, `"max_lease_ms": 0`},
+		"append_bytes":    {`"append_bytes": 2097152`, `"append_bytes": 100`},
+		"declarations_ms": {`"stop_grace_ms"`, `"declarations_ms": 100, "stop_grace_ms"`},
+		"link_mbps":       {`"link_mbps": 12.5`, `"link_mbps": -1`},
+		"retention_s":     {`"retention_s": 120`, `"retention_s": 0`},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/program/scheduler.go
+++ b/internal/program/scheduler.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/siskinvane/siskinvane/internal/connection/httpcall"
 	"github.com/siskinvane/siskinvane/internal/platform/fleet"
+	"github.com/siskinvane/siskinvane/internal/platform/store"
 	"github.com/siskinvane/siskinvane/internal/process/bootclock"
 	"github.com/siskinvane/siskinvane/internal/process/event"
 	"github.com/siskinvane/siskinvane/internal/process/logring"
@@ -97,8 +98,8 @@
 	if err := registry.Register("log.lines_dropped", droppedLines); err != nil {
 		return nil, fmt.Errorf("register metric: %w", err)
 	}
-	store := platform.NewStore(client, s.Store)
-	p := &schedulerProcess{logger: logger, store: store}
+	storeClient := platform.NewStore(client, s.Store)
+	p := &schedulerProcess{logger: logger, store: storeClient}
 	var advisor fleet.Advisor
 	if s.Advice.IsValid() {
 		p.advisor = platform.NewAdvisor(client, s.Advice)
@@ -110,14 +111,21 @@
 		machines = p.machines
 	}
 	p.applySettings(s)
+	operators := platform.Operators{
+		Store: storeClient, Within: s.Bounds.DeclarationsBound(),
+		OnOverdue: func(p store.Partition, waited time.Duration) {
+			metrics.GetOrRegisterCounter("store.answers_overdue", registry).Inc(1)
+			event.AnswerOverdue.Log(logger, logrus.Fields{"partition": p.String(), "waited_ms": waited.Milliseconds()})
+		},
+	}
 	n, err := node.Start(node.Config{
 		Host: s.Host, Peer: s.Peer, Network: peer.TCP, LinkMbps: s.LinkMbps, Logger: logger, Metrics: registry, Clock: bootclock.Now,
 		Bounds: schedulerBounds(s), Retention: settings.Seconds(s.Bounds.RetentionSeconds), AppendBytes: s.Bounds.AppendBytes,
-		Store: store, Workers: platform.NewWorkers(client), Advisor: advisor,
+		Store: storeClient, Workers: platform.NewWorkers(client), Advisor: advisor,
 		Machines: machines, MachineLease: settings.Milliseconds(s.Bounds.MachineLeaseMS),
-		Waves:        func() fleet.Waves { return platform.NewWaves(store) },
-		Registry:     func() fleet.Registry { return platform.NewRegistry(store) },
-		Declarations: platform.NewDeclarations(store),
+		Waves:        func() fleet.Waves { return platform.NewWaves(operators) },
+		Registry:     func() fleet.Registry { return platform.NewRegistry(storeClient) },
+		Declarations: platform.NewDeclarations(operators),
 	})
 	if err != nil {
 		return nil, err
