Close the idle connections to an address after a call without an answer

Where all connections of a host go silent, each kept one cost a whole timeout: the platform's client opened a new connection only for the call right after one without an answer, and the call after that took the next dead one from the pool. The clients of the project's own services did not even do that.

Evidence: TestDeadConnectionsCostOneTimeout failed with the second call after the silence began; now one call of nine gets no answer.

Change: httpcall closes the idle connections to the address of a call that got no answer. A call under way keeps its connection. The pool of one-shot connections stays for calls that ask for one.

--- a/internal/connection/httpcall/httpcall.go
+++ b/internal/connection/httpcall/httpcall.go
@@ -8,13 +8,17 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"runtime"
+	"sync"
 	"time"
+	"weak"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1"
 )
 
 const (
@@ -32,34 +36,61 @@
 // received. The peer may have acted on it, or may do so later.
 var ErrNoAnswer = errors.New("no answer")
 
-// Client makes calls to any address. It closes a connection on which a call
-// fails. It is safe for concurrent use.
+// Client makes calls to any address. It closes a connection on which a call fails. After a
+// call without an answer it closes the idle connections to that address as well, since they
+// may have gone silent together. It is safe for concurrent use.
 type Client struct {
 	keepAlive *client.Client
 	oneShot   *client.Client
+	// hosts holds the keep-alive connections by address. The pointers are weak, as hertz
+	// drops hosts that are no longer called.
+	hosts *sync.Map
 }
 
 // New returns a Client with a connection pool of its own.
 func New() (*Client, error) {
-	keepAlive, err := newPool(true)
-	if err != nil {
+	c := &Client{hosts: &sync.Map{}}
+	var err error
+	if c.keepAlive, err = newPool(true, client.WithHostClientConfigHook(c.rememberHost)); err != nil {
 		return nil, err
 	}
-	oneShot, err := newPool(false)
-	if err != nil {
+	if c.oneShot, err = newPool(false); err != nil {
 		return nil, err
 	}
-	return &Client{keepAlive: keepAlive, oneShot: oneShot}, nil
+	return c, nil
+}
+
+// rememberHost adds a new host to hosts.
+func (c *Client) rememberHost(host any) error {
+	h, ok := host.(*http1.HostClient)
+	if !ok {
+		return fmt.Errorf("host of type %T is unknown", host)
+	}
+	hosts, pointer := c.hosts, weak.Make(h)
+	hosts.Store(h.Addr, pointer)
+	runtime.AddCleanup(h, func(addr string) { hosts.CompareAndDelete(addr, pointer) }, h.Addr)
+	return nil
+}
+
+// closeIdle closes the idle keep-alive connections to an address.
+func (c *Client) closeIdle(addr netip.AddrPort) {
+	pointer, known := c.hosts.Load(addr.String())
+	if !known {
+		return
+	}
+	if h := pointer.(weak.Pointer[http1.HostClient]).Value(); h != nil {
+		h.CloseIdleConnections()
+	}
 }
 
-func newPool(keepAlive bool) (*client.Client, error) {
-	c, err := client.NewClient(
+func newPool(keepAlive bool, options ...config.ClientOption) (*client.Client, error) {
+	c, err := client.NewClient(append(options,
 		client.WithDialer(standard.NewDialer()),
 		client.WithDialTimeout(dialTimeout),
 		client.WithMaxIdleConnDuration(maxIdleTime),
 		client.WithMaxConnsPerHost(maxConnections),
 		client.WithKeepAlive(keepAlive),
-	)
+	)...)
 	if err != nil {
 		return nil, fmt.Errorf("create http client: %w", err)
 	}
@@ -112,7 +143,11 @@
 		pool = c.oneShot
 	}
 	if err := pool.Do(ctx, req, resp); err != nil {
-		return classify(err, r.Fresh)
+		err = classify(err, r.Fresh)
+		if errors.Is(err, ErrNoAnswer) {
+			c.closeIdle(r.Addr)
+		}
+		return err
 	}
 	return handle(Answer{Status: resp.StatusCode(), Body: resp.Body(), resp: resp})
 }
