Pass versions of the declarations to a new owner that come while it takes over

Work of a queue that was moved to another service is placed on the old one, until the next version, by an owner that took over as the version came.

Cause: takeOver gave the dispatcher the version in force and made it known to the follower of the declarations later, after the learned models and all jobs were read. A version that came between was stored by the host and passed to no dispatcher. It is the fault that TestTakeoverMissesNoRecord guards against for records, and was not looked for here then.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -185,6 +185,14 @@
 	d.updateShard(func(s *scheduler.Shard, _ scheduler.Instant) { s.SetConfig(c) })
 }
 
+// DeclaredVersion returns the version of the declarations that applies to the shard, or 0
+// before the first one.
+func (d *Dispatcher) DeclaredVersion() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.shard.DeclaredVersion()
+}
+
 // SetBounds changes the limits that the platform sets.
 func (d *Dispatcher) SetBounds(b scheduler.Bounds) {
 	d.updateShard(func(s *scheduler.Shard, _ scheduler.Instant) { s.SetBounds(b) })
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -117,7 +117,9 @@
 
 	// applying is held while a page is applied to the table and its changes are passed to
 	// the dispatcher: the table reports a change only once, and the dispatcher must hear
-	// of changes in the order in which they were applied. It is acquired before mu.
+	// of changes in the order in which they were applied. It is held as well while a new
+	// version of the declarations is passed to the dispatcher, so that a takeover misses
+	// none. It is acquired before mu.
 	applying sync.Mutex
 
 	watch ownerWatch
@@ -226,18 +228,27 @@
 		if err != nil {
 			event.QueuesRefused.Log(n.Logger, logrus.Fields{"error": err, "version": n.declaredVersion()})
 		}
-		current := n.config.Load()
-		if c == nil || current != nil && c.Version <= current.Version {
-			continue
-		}
-		n.config.Store(c)
-		event.QueuesInForce.Log(n.Logger, logrus.Fields{"version": c.Version, "queues": len(c.Queues), "stale_ms": stale.Milliseconds()})
-		if d := n.ownedDispatcher(); d != nil {
-			d.SetConfig(c)
+		if c != nil && n.putInForce(c) {
+			event.QueuesInForce.Log(n.Logger, logrus.Fields{"version": c.Version, "queues": len(c.Queues), "stale_ms": stale.Milliseconds()})
 		}
 	}
 }
 
+// putInForce makes c the version in force and reports true, unless it is not newer than
+// the one in force.
+func (n *Node) putInForce(c *queue.Config) bool {
+	if current := n.config.Load(); current != nil && c.Version <= current.Version {
+		return false
+	}
+	n.config.Store(c)
+	n.applying.Lock()
+	defer n.applying.Unlock()
+	if d := n.ownedDispatcher(); d != nil {
+		d.SetConfig(c)
+	}
+	return true
+}
+
 // declaredVersion returns the version of the declarations in force, or 0 before the first
 // one.
 func (n *Node) declaredVersion() int64 {
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -80,29 +80,30 @@
 		},
 		ConfirmationAge: n.SinceCaughtUp,
 	})
-	if c := n.Queues(); c != nil {
-		d.SetConfig(c)
-	}
 	if learned := n.table.LearnedModels(); learned != nil {
 		if err := d.Restore(learned); err != nil {
 			event.RecordUnreadable.Log(n.Logger, logrus.Fields{"error": err})
 		}
 	}
 	ownerCtx, stop := context.WithCancel(n.ctx)
-	n.handTableTo(d, stop)
+	n.handStateTo(d, stop)
 	n.background.Go(func() { n.followWorkers(ownerCtx, d) })
 	n.startUpkeep(ownerCtx, d, previous)
 	n.count("shard.taken_over")
-	event.OwnershipGained.Log(n.Logger, logrus.Fields{"epoch": epoch, "claim": own.Claim, "previous": previous.Host, "jobs": len(n.table.All()), "queues_version": n.declaredVersion()})
+	event.OwnershipGained.Log(n.Logger, logrus.Fields{"epoch": epoch, "claim": own.Claim, "previous": previous.Host, "jobs": len(n.table.All()), "queues_version": d.DeclaredVersion()})
 	return nil
 }
 
-// handTableTo starts the dispatcher d with the jobs and workers in the table and makes it
-// the one that hears of changes. No change is applied meanwhile, so none is missed. The
-// jobs come first, since tasks of unknown jobs are stopped on workers that answer.
-func (n *Node) handTableTo(d *dispatch.Dispatcher, stop context.CancelFunc) {
+// handStateTo starts the dispatcher d with the declarations in force and the jobs and
+// workers in the table, and makes it the one that hears of changes. No change is passed on
+// meanwhile, so none is missed. The jobs come before the workers, since tasks of unknown
+// jobs are stopped on workers that answer.
+func (n *Node) handStateTo(d *dispatch.Dispatcher, stop context.CancelFunc) {
 	n.applying.Lock()
 	defer n.applying.Unlock()
+	if c := n.Queues(); c != nil {
+		d.SetConfig(c)
+	}
 	d.AddJobs(n.table.All())
 	d.Enroll(n.table.Workers())
 	d.Start()
--- a/internal/process/node/takeover_test.go
+++ b/internal/process/node/takeover_test.go
@@ -30,6 +30,8 @@
 	// and open while records arrive at all.
 	arrivals       int
 	arriving, open atomic.Bool
+	// deliver lets the arrival of the given number arrive.
+	deliver func(i int)
 }
 
 // maxArrivals is the number of old jobs.
@@ -51,7 +53,7 @@
 	n := &Node{
 		Config: Config{
 			Host: "h1", Logger: logger, Metrics: metrics.NewRegistry(), Retention: time.Minute, AppendBytes: memstore.MaxAppendBytes,
-			Clock: func() time.Duration { f.arrive(t); return time.Since(started) },
+			Clock: func() time.Duration { f.arrive(); return time.Since(started) },
 			Store: view, Registry: func() fleet.Registry { return noWorkers{} },
 		},
 		partition: store.Partition{Topic: JobTopic}, table: job.NewTable(), readToken: make(chan struct{}, 1),
@@ -60,6 +62,9 @@
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.reader = keyed.NewReader(view, n.partition)
 	f.node = n
+	f.deliver = func(i int) {
+		n.applyRecords([]store.Record{submissionRecord(t, newJob(i)), job.CancellationRecord(oldJob(i))})
+	}
 	for i := range maxArrivals {
 		_, err := view.Append(n.ctx, n.partition, []store.Record{submissionRecord(t, oldJob(i))}, nil)
 		must.NoError(t, err)
@@ -75,9 +80,9 @@
 	return r
 }
 
-// arrive lets another host's records arrive and waits until they are applied, or for
-// arrivalWait if the node holds them back.
-func (f *takeoverFixture) arrive(t *testing.T) {
+// arrive lets something arrive and waits until it is applied, or for arrivalWait if the
+// node holds it back.
+func (f *takeoverFixture) arrive() {
 	if !f.open.Load() || !f.arriving.CompareAndSwap(false, true) {
 		return
 	}
@@ -87,12 +92,11 @@
 		return
 	}
 	f.arrivals++
-	records := []store.Record{submissionRecord(t, newJob(i)), job.CancellationRecord(oldJob(i))}
 	applied := make(chan struct{})
 	go func() {
 		defer close(applied)
 		defer f.arriving.Store(false)
-		f.node.applyRecords(records)
+		f.deliver(i)
 	}()
 	select {
 	case <-applied:
@@ -123,6 +127,28 @@
 	f.node.background.Wait()
 }
 
+// TestTakeoverMissesNoDeclarations guards against an owner that places work by the version
+// of the declarations from before a takeover during which another one came.
+func TestTakeoverMissesNoDeclarations(t *testing.T) {
+	f := newTakeoverFixture(t)
+	f.deliver = func(i int) {
+		// Versions that come later would hide that one was missed.
+		if !f.node.OwnsShard() {
+			f.node.putInForce(version(int64(i + 1)))
+		}
+	}
+	f.open.Store(true)
+	must.NoError(t, f.node.takeOver(1))
+	f.open.Store(false)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return !f.arriving.Load() })))
+	must.Positive(t, f.arrivals)
+	d := f.node.ownedDispatcher()
+	must.Eq(t, f.node.declaredVersion(), d.DeclaredVersion())
+	f.node.cancel()
+	d.Abort()
+	f.node.background.Wait()
+}
+
 // answeringWorkers is one worker that runs the task of a job and answers at once. It
 // implements fleet.Workers.
 type answeringWorkers struct {
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -118,6 +118,9 @@
 // SetConfig applies a version of the declarations.
 func (s *Shard) SetConfig(c *queue.Config) { s.config, s.dirty.all = c, true }
 
+// DeclaredVersion returns the version of the declarations that applies.
+func (s *Shard) DeclaredVersion() int64 { return s.config.Version }
+
 // StartAction is an order to start a task, to be passed to BeginStart when it can be
 // sent.
 type StartAction struct {
