Pass bounds to a new owner that change while it takes over

An owner that takes over while its settings are changed goes on with the limits from before, such as the longest lease that workers grant, until its next change of settings or owner.

Evidence: TestTakeoverMissesNoBounds failed: a lease of 1.4 s where 1.8 s were set.

Change: the bounds are passed under the same lock as the declarations.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -118,8 +118,8 @@
 	// applying is held while a page is applied to the table and its changes are passed to
 	// the dispatcher: the table reports a change only once, and the dispatcher must hear
 	// of changes in the order in which they were applied. It is held as well while a new
-	// version of the declarations is passed to the dispatcher, so that a takeover misses
-	// none. It is acquired before mu.
+	// version of the declarations or new bounds are passed to the dispatcher, so that a
+	// takeover misses none. It is acquired before mu.
 	applying sync.Mutex
 
 	watch ownerWatch
@@ -192,6 +192,8 @@
 	n.mu.Lock()
 	n.Bounds = b
 	n.mu.Unlock()
+	n.applying.Lock()
+	defer n.applying.Unlock()
 	if d := n.ownedDispatcher(); d != nil {
 		d.SetBounds(b)
 	}
--- a/internal/process/node/takeover_test.go
+++ b/internal/process/node/takeover_test.go
@@ -16,6 +16,7 @@
 	"github.com/siskinvane/siskinvane/internal/platform/store"
 	"github.com/siskinvane/siskinvane/internal/process/keyed"
 	"github.com/siskinvane/siskinvane/internal/process/pause"
+	"github.com/siskinvane/siskinvane/internal/scheduler"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 	"github.com/siskinvane/siskinvane/internal/standin/memstore"
 )
@@ -149,11 +150,41 @@
 	f.node.background.Wait()
 }
 
+// TestTakeoverMissesNoBounds guards against an owner that goes on with the platform's
+// limits from before a takeover during which they were changed.
+func TestTakeoverMissesNoBounds(t *testing.T) {
+	f := newTakeoverFixture(t)
+	n := f.node
+	workers := &answeringWorkers{runs: job.TaskRef{Job: oldJob(0)}}
+	n.Workers = workers
+	enrollment, err := job.EnrollmentRecord(job.Enrollment{Worker: "w0", Addr: "127.1.0.1:80", Service: "s", Claim: 1, Run: 1})
+	must.NoError(t, err)
+	n.applyRecords([]store.Record{enrollment})
+	n.SetBounds(scheduler.Bounds{MaxLease: time.Second})
+	f.deliver = func(i int) {
+		if !n.OwnsShard() {
+			n.SetBounds(scheduler.Bounds{MaxLease: time.Second + time.Duration(i+1)*100*time.Millisecond})
+		}
+	}
+	f.open.Store(true)
+	must.NoError(t, n.takeOver(1))
+	f.open.Store(false)
+	must.Wait(t, wait.InitialSuccess(wait.Timeout(2*time.Second), wait.BoolFunc(func() bool { return workers.leaseEnd.Load() > 0 })))
+	lease := n.bounds().MaxLease
+	must.Between(t, lease, time.Duration(workers.leaseEnd.Load()), lease+50*time.Millisecond)
+	d := n.ownedDispatcher()
+	n.cancel()
+	d.Abort()
+	n.background.Wait()
+}
+
 // answeringWorkers is one worker that runs the task of a job and answers at once. It
 // implements fleet.Workers.
 type answeringWorkers struct {
 	runs  job.TaskRef
 	stops atomic.Int32
+	// leaseEnd is the last lease that was asked for. The worker's clock stands still at 1.
+	leaseEnd atomic.Int64
 }
 
 // Start implements fleet.Workers.
@@ -177,6 +208,7 @@
 	if o.Wait > 0 {
 		_ = pause.For(ctx, time.Millisecond)
 	}
+	w.leaseEnd.Store(int64(o.LeaseEnd))
 	return fleet.RenewReply{
 		Verdict: fleet.Accepted, Clock: 1, Started: 1, Running: []fleet.Running{{Task: w.runs, Attempt: 1}},
 	}, nil
