--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -95,9 +95,9 @@
 }
 
 // handStateTo starts the dispatcher d with the bounds and declarations in force and the
-// jobs and workers in the table, and makes it the one that hears of changes. No change is passed on
-// meanwhile, so none is missed. The jobs come before the workers, since tasks of unknown
-// jobs are stopped on workers that answer.
+// jobs and workers in the table, and makes it the one that hears of changes. No change is
+// passed on meanwhile, so none is missed. The jobs come before the workers, since tasks of
+// unknown jobs are stopped on workers that answer.
 func (n *Node) handStateTo(d *dispatch.Dispatcher, stop context.CancelFunc) {
 	n.applying.Lock()
 	defer n.applying.Unlock()
--- a/internal/version/queue/queue.go
+++ b/internal/version/queue/queue.go
@@ -112,7 +112,7 @@
 // Source follows the declarations. It is not safe for concurrent use.
 type Source interface {
 	// Next waits a bounded time for a change and returns the newest version, or
-	// nil if there was none. It fails with *UnusableError if the newest version cannot be
-	// decoded; the next call goes on after it.
+	// nil if there was none. If the newest version cannot be decoded it returns the newest
+	// one that can, if any, and *UnusableError; the next call goes on after both.
 	Next(ctx context.Context) (*Config, error)
 }
