Repeat overdue reads of the configuration stream in the placer

The placer reads the configuration stream with a timeout of 3 s, the whole time within which a version has to be in force, so a read on a dead connection brings it too late, also when peers tell of the version by heartbeat: the loop is still in that read.

Evidence: TestConfigIsReadPastDeadConnection failed: no answer after 3 s.

Change: the repetition of overdue calls moves to process/repeat, used by keyed.Follower and by the placer's configuration follower, whose reads are repeated after 0.5 s on new connections.

--- a/internal/platform/store/connection.go
+++ b/internal/platform/connection.go
@@ -1,4 +1,4 @@
-package store
+package platform
 
 import "context"
 
--- a/internal/platform/httpapi/client.go
+++ b/internal/platform/httpapi/client.go
@@ -141,6 +141,7 @@
 
 // do makes one call and passes the response to handle.
 func (c *Client) do(ctx context.Context, r httpcall.Request, handle func(httpcall.Answer) error) error {
+	r.Fresh = platform.WantsNewConnection(ctx)
 	err := c.transport.Do(ctx, r, handle)
 	if errors.Is(err, httpcall.ErrNoAnswer) {
 		return fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, err)
--- a/internal/process/keyed/follower.go
+++ b/internal/process/keyed/follower.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"time"
 
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/store"
+	"github.com/siskinvane/siskinvane/internal/process/repeat"
 )
 
 // FollowerConfig describes a Follower.
@@ -47,9 +46,6 @@
 	return changes, err
 }
 
-// maxRepeats is the greatest number of repetitions of a read that are under way.
-const maxRepeats = 3
-
 // repeatedReads is a store that repeats reads whose answers are overdue.
 type repeatedReads struct {
 	store.Store
@@ -67,7 +63,7 @@
 	if s.impatient {
 		overdue = s.interval
 	}
-	return repeat(ctx, s, p, overdue, func(ctx context.Context, repeated bool) (store.Page, error) {
+	return repeat.Call(ctx, s.policy(p, overdue), func(ctx context.Context, repeated bool) (store.Page, error) {
 		if repeated {
 			return s.Store.Read(ctx, p, from, 0)
 		}
@@ -77,71 +73,15 @@
 
 // Newest implements store.Store.
 func (s *repeatedReads) Newest(ctx context.Context, p store.Partition, after *string) (store.NewestPage, error) {
-	return repeat(ctx, s, p, s.interval, func(ctx context.Context, _ bool) (store.NewestPage, error) {
+	return repeat.Call(ctx, s.policy(p, s.interval), func(ctx context.Context, _ bool) (store.NewestPage, error) {
 		return s.Store.Newest(ctx, p, after)
 	})
 }
 
-// repeat makes a call, and makes it again on a new connection once its answer is overdue
-// and after each interval from then on. It returns the first answer, or the error of the
-// first call if that ends without an answer. Calls that are still under way at the return
-// end by their timeouts.
-func repeat[T any](ctx context.Context, s *repeatedReads, p store.Partition, overdue time.Duration, call func(ctx context.Context, repeated bool) (T, error)) (T, error) {
-	c := calls[T]{call: call, outcomes: make(chan outcome[T]), returned: make(chan struct{})}
-	defer close(c.returned)
-	go c.run(ctx, false)
-	repetitions, first := 0, true
-	timer := time.NewTimer(overdue)
-	defer timer.Stop()
-	for {
-		select {
-		case o := <-c.outcomes:
-			if !o.repeated || !errors.Is(o.err, platform.ErrOutcomeUnknown) {
-				return o.answer, o.err
-			}
-			repetitions--
-		case <-timer.C:
-			timer.Reset(s.interval)
-			if first && s.onOverdue != nil {
-				s.onOverdue(p, overdue)
-			}
-			first = false
-			if repetitions < maxRepeats {
-				repetitions++
-				go c.runRepeated(ctx, maxRepeats*s.interval)
-			}
-		case <-ctx.Done():
-			var none T
-			return none, fmt.Errorf("read %s: %w", p, ctx.Err())
+func (s *repeatedReads) policy(p store.Partition, overdue time.Duration) repeat.Policy {
+	return repeat.Policy{Overdue: overdue, Interval: s.interval, OnOverdue: func() {
+		if s.onOverdue != nil {
+			s.onOverdue(p, overdue)
 		}
-	}
-}
-
-// calls is a call and its repetitions, which run side by side.
-type calls[T any] struct {
-	call     func(ctx context.Context, repeated bool) (T, error)
-	outcomes chan outcome[T]
-	// returned is closed when outcomes are no longer received.
-	returned chan struct{}
-}
-
-// outcome is the outcome of a call or of one of its repetitions.
-type outcome[T any] struct {
-	answer   T
-	err      error
-	repeated bool
-}
-
-func (c *calls[T]) run(ctx context.Context, repeated bool) {
-	answer, err := c.call(ctx, repeated)
-	select {
-	case c.outcomes <- outcome[T]{answer, err, repeated}:
-	case <-c.returned:
-	}
-}
-
-func (c *calls[T]) runRepeated(ctx context.Context, timeout time.Duration) {
-	ctx, cancel := context.WithTimeout(store.WithNewConnection(ctx), timeout)
-	defer cancel()
-	c.run(ctx, true)
+	}}
 }
--- a/internal/process/keyed/follower_test.go
+++ b/internal/process/keyed/follower_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/store"
+	"github.com/siskinvane/siskinvane/internal/process/repeat"
 	"github.com/siskinvane/siskinvane/internal/standin/memstore"
 )
 
@@ -39,7 +40,7 @@
 		s.underWay--
 		s.mu.Unlock()
 	}()
-	answer := s.answerAfter(store.WantsNewConnection(ctx))
+	answer := s.answerAfter(platform.WantsNewConnection(ctx))
 	select {
 	case <-time.After(min(answer, s.timeout)):
 		if answer > s.timeout {
@@ -128,7 +129,7 @@
 		time.Sleep(time.Minute)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		must.Eq(t, 1+maxRepeats, s.most)
+		must.Eq(t, 1+repeat.MaxUnderWay, s.most)
 		must.LessEq(t, 25, s.calls, must.Sprint("12 s, two reads a second"))
 		must.Zero(t, s.underWay)
 	})
--- a/internal/process/placer/log.go
+++ b/internal/process/placer/log.go
@@ -7,8 +7,24 @@
 
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/process/outage"
+	"github.com/siskinvane/siskinvane/internal/process/repeat"
 )
 
+// configReadPolicy keeps a version in force within 3 s after its publication: a poll period,
+// a read that gets no answer, and its repetition.
+var configReadPolicy = repeat.Policy{Overdue: 500 * time.Millisecond, Interval: 500 * time.Millisecond}
+
+// repeatingLog repeats reads whose answer is overdue. The log may have answered on another
+// connection.
+type repeatingLog struct{ platform.Log }
+
+// Read implements platform.Log.
+func (l repeatingLog) Read(ctx context.Context, stream string, from platform.Offset, limit int) ([]platform.Entry, error) {
+	return repeat.Call(ctx, configReadPolicy, func(ctx context.Context, _ bool) ([]platform.Entry, error) {
+		return l.Log.Read(ctx, stream, from, limit)
+	})
+}
+
 // monitoredLog wraps a log and tracks since when it is reachable. It is safe for
 // concurrent use.
 type monitoredLog struct {
--- a/internal/process/placer/placer.go
+++ b/internal/process/placer/placer.go
@@ -107,7 +107,7 @@
 func newPlacer(c Config) *Placer {
 	log := newMonitoredLog(c.Log, c.Now)
 	replay := config.NewReplay()
-	follower := stream.NewFollower(log, record.ConfigStream, replay)
+	follower := stream.NewFollower(repeatingLog{log}, record.ConfigStream, replay)
 	id := record.WriterID{Host: c.Host.ID, Incarnation: uint64(c.Now().UnixNano())}
 	p := &Placer{
 		config: c, log: log, writerID: id, members: member.NewView(),
