--- a/internal/experiment/day/day.go
+++ b/internal/experiment/day/day.go
@@ -64,6 +64,10 @@
 // startupTime is the time between the start of the hosts and the first job.
 const startupTime = 2 * time.Second
 
+// declarationsStream selects the random numbers that versions of the declarations are drawn
+// from. Those of callers are numbered from 1.
+const declarationsStream = 1 << 32
+
 // wavePollInterval is the interval between two checks whether all upkeep waves have
 // ended.
 const wavePollInterval = 500 * time.Millisecond
@@ -90,15 +94,24 @@
 	end := duration + time.Duration(p.QuietSeconds)*time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), end)
 	defer cancel()
+	declaring, stopDeclaring := context.WithCancel(ctx)
+	defer stopDeclaring()
+	var background sync.WaitGroup
+	background.Go(func() { sim.changeDeclarations(declaring, rand.New(rand.NewPCG(p.Seed, declarationsStream))) })
+	var staleDeclarations []string
+	background.Go(func() { staleDeclarations = sim.checkDeclarations(declaring) })
 	callers := sim.runCallers(ctx, p, random)
 	injections.Wait()
 	for sim.cluster.OpenWaves() > 0 && ctx.Err() == nil {
 		_ = pause.For(ctx, wavePollInterval)
 	}
+	stopDeclaring()
+	background.Wait()
 	for _, h := range sim.runningHosts() {
 		h.kill()
 	}
 	r := summarize(sim, callers)
+	r.Violations = append(r.Violations, staleDeclarations...)
 	r.Faults = faults
 	for _, f := range faults {
 		at := startupTime + time.Duration(f.AtMS)*time.Millisecond
--- a/internal/experiment/day/faults.go
+++ b/internal/experiment/day/faults.go
@@ -33,7 +33,7 @@
 	StoreLate Kind = "store_late"
 	// RebalanceGroups reassigns all partitions of the store's groups to other members.
 	RebalanceGroups Kind = "redeal"
-	// Compact compacts the job topic.
+	// Compact compacts the topics of jobs and declarations.
 	Compact Kind = "compact"
 	// CrashWorker crashes a worker and restarts it after the fault's duration.
 	CrashWorker Kind = "crash_worker"
@@ -127,6 +127,7 @@
 		sim.store.RebalanceAll()
 	case Compact:
 		sim.store.Compact(store.Partition{Topic: node.JobTopic})
+		sim.store.Compact(declarationsPartition)
 	case MuteWorker:
 		sim.cluster.LoseReplies(worker, 3)
 	case CutHost:
--- a/internal/experiment/day/simulation.go
+++ b/internal/experiment/day/simulation.go
@@ -54,7 +54,8 @@
 	network   *memnet.Network
 	hosts     []*host
 	workers   []platform.WorkerID
-	config    *queue.Config
+	// declared holds the versions of the declarations.
+	declared declared
 	// narrowHosts is the number of hosts with a narrow link, the first ones.
 	narrowHosts int
 	// linkBytesPerSecond is the bandwidth of each host's link to the workers in each
@@ -72,6 +73,9 @@
 	view  *memstore.View
 	// node is nil while the program does not run.
 	node atomic.Pointer[node.Node]
+	// startedAt is when the current run of the program was started, in nanoseconds of the
+	// day.
+	startedAt atomic.Int64
 	// link connects the current run of the program to the workers.
 	link *link
 }
@@ -79,10 +83,8 @@
 func newSimulation(hosts, workers int, logger *logrus.Logger) *simulation {
 	sim := &simulation{
 		logger: logger, startedAt: time.Now(), store: memstore.New(), cluster: cluster.New(), network: memnet.New(),
-		config: queue.New(1,
-			[]*queue.Queue{{Name: queueName, Service: service, MaxFailures: 3, Stretch: 2, Target: time.Second}},
-			[]*queue.Service{{Name: service}}, queue.Limits{}),
 	}
+	sim.declare(1)
 	for i := range workers {
 		info := workerInfo(i)
 		sim.workers = append(sim.workers, info.ID)
@@ -112,6 +114,7 @@
 
 // start starts the program on the host.
 func (h *host) start() error {
+	h.startedAt.Store(int64(h.sim.now()))
 	h.link = &link{sim: h.sim, host: h, killed: make(chan struct{})}
 	var workers fleet.Workers = h.link
 	if h.sim.linkBytesPerSecond > 0 {
@@ -127,7 +130,7 @@
 		Clock: h.sim.now, Bounds: bounds, Retention: retention, AppendBytes: memstore.MaxAppendBytes, Store: h.view, Workers: workers,
 		Machines: h.link, MachineLease: machineLease, Waves: func() fleet.Waves { return &waves{host: h} },
 		Registry:     func() fleet.Registry { return &registry{host: h} },
-		Declarations: &declarations{host: h},
+		Declarations: newDeclarations(h.view),
 	})
 	if err != nil {
 		return fmt.Errorf("start host %d: %w", h.index, err)
@@ -176,26 +179,6 @@
 	return list
 }
 
-// declarations delivers the only version of the declarations once. It implements
-// queue.Source.
-type declarations struct {
-	host *host
-	sent bool
-}
-
-// Next implements queue.Source.
-func (d *declarations) Next(ctx context.Context) (*queue.Config, error) {
-	if !d.sent {
-		d.sent = true
-		return d.host.sim.config, nil
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(2 * time.Second):
-	}
-	return nil, ctx.Err()
-}
-
 // registry delivers the workers that are up as long as the host can reach the store.
 // It implements fleet.Registry.
 type registry struct {
--- a/internal/standin/memstore/view.go
+++ b/internal/standin/memstore/view.go
@@ -31,7 +31,8 @@
 // lateAppendDelay is the time until a late append takes effect.
 const lateAppendDelay = 2 * time.Second
 
-// callTimeout is how long a call waits for a reply that does not arrive.
+// callTimeout is how long a call waits for a reply that does not arrive. A read waits for
+// a change in addition.
 const callTimeout = 1500 * time.Millisecond
 
 // View is the store as one host sees it. It implements store.Store and is safe for
@@ -44,6 +45,11 @@
 	mode    Mode
 	delay   time.Duration
 	appends int
+	// silences counts the changes to Unresponsive. A read that is under way then gets no
+	// reply, like one on a connection that goes silent.
+	silences int
+	// repliesSince is when reads last began to get replies.
+	repliesSince time.Duration
 }
 
 var _ store.Store = (*View)(nil)
@@ -56,9 +62,33 @@
 	if delay == 0 {
 		delay = defaultDelay
 	}
+	if m == Unresponsive {
+		v.silences++
+	}
+	if !v.mode.repliesToReads() && m.repliesToReads() {
+		v.repliesSince = v.store.now()
+	}
 	v.mode, v.delay = m, delay
 }
 
+func (m Mode) repliesToReads() bool { return m == Healthy || m == LateAppends }
+
+// RepliesSince returns the time since the store was created from which on reads have got
+// replies. It returns false if they get none now.
+func (v *View) RepliesSince() (time.Duration, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.repliesSince, v.mode.repliesToReads()
+}
+
+// silentSince reports whether the view is silent or was since it had been so the given
+// number of times.
+func (v *View) silentSince(silences int) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.mode == Unresponsive || v.silences > silences
+}
+
 // Appends returns the number of append calls by the host, failed ones included.
 func (v *View) Appends() int {
 	v.mu.Lock()
@@ -135,6 +165,22 @@
 
 // Read implements store.Store.
 func (v *View) Read(ctx context.Context, p store.Partition, from platform.Offset, wait time.Duration) (store.Page, error) {
+	started := time.Now()
+	v.mu.Lock()
+	silences := v.silences
+	v.mu.Unlock()
+	page, err := v.read(ctx, p, from, wait)
+	if v.silentSince(silences) {
+		if err := sleep(ctx, time.Until(started.Add(wait+callTimeout))); err != nil {
+			return store.Page{}, err
+		}
+		return store.Page{}, ErrReset
+	}
+	return page, err
+}
+
+// read reads from a store that is not silent.
+func (v *View) read(ctx context.Context, p store.Partition, from platform.Offset, wait time.Duration) (store.Page, error) {
 	mode, err := v.beginCall(ctx)
 	if err != nil {
 		return store.Page{}, err
