--- a/internal/connection/httpcall/httpcall_test.go
+++ b/internal/connection/httpcall/httpcall_test.go
@@ -12,8 +12,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestDeadConnectionsCostOneTimeout guards against calls that take one kept connection
-// after the other once all have gone silent, and wait for a whole timeout on each.
+// TestDeadConnectionsCostOneTimeout guards against a timeout for each dead kept connection.
 func TestDeadConnectionsCostOneTimeout(t *testing.T) {
 	const connections, timeout = 4, 200 * time.Millisecond
 	// Connections opened before the silence are not answered any more.
--- a/internal/process/keyed/follower.go
+++ b/internal/process/keyed/follower.go
@@ -16,8 +16,8 @@
 	// Within is the time within which a change has to be known after it was acknowledged,
 	// or after the store answers again.
 	Within time.Duration
-	// OnOverdue, if set, is called when a read has not been answered for the given time and
-	// is about to be repeated, once for each call of Next.
+	// OnOverdue, if set, is called once for each read that has not been answered for the
+	// given time, before it is repeated.
 	OnOverdue func(p store.Partition, waited time.Duration)
 }
 
--- a/internal/process/keyed/follower_test.go
+++ b/internal/process/keyed/follower_test.go
@@ -84,8 +84,7 @@
 	}), overdue
 }
 
-// TestReadIsRepeatedOnNewConnection guards against a read that waits for the answer on a
-// dead connection.
+// TestReadIsRepeatedOnNewConnection guards against a read that waits on a dead connection.
 func TestReadIsRepeatedOnNewConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &delayedStore{timeout: 12 * time.Second, answerAfter: func(newConnection bool) time.Duration {
@@ -105,8 +104,7 @@
 	})
 }
 
-// TestLateAnswerCounts guards against a follower on a busy link that drops each answer for
-// being late.
+// TestLateAnswerCounts guards against a busy link on which each answer is dropped as late.
 func TestLateAnswerCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &delayedStore{timeout: 12 * time.Second, answerAfter: func(bool) time.Duration { return 4 * time.Second }}
@@ -135,8 +133,7 @@
 	})
 }
 
-// TestReadAfterFailureDoesNotWait guards against a read that, after a failed one, waits
-// for a change before it counts as overdue.
+// TestReadAfterFailureDoesNotWait guards against a wait for changes after a failed read.
 func TestReadAfterFailureDoesNotWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var silent atomic.Bool
@@ -161,8 +158,7 @@
 	})
 }
 
-// TestRefusalEndsRead guards against a refusal that is hidden while an earlier read is
-// still under way.
+// TestRefusalEndsRead guards against a refusal that is hidden by a read under way.
 func TestRefusalEndsRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		view := memstore.New().View("h1")
--- a/internal/process/node/declarations_test.go
+++ b/internal/process/node/declarations_test.go
@@ -46,8 +46,7 @@
 	return lines
 }
 
-// TestStaleDeclarationsAreVisible checks that logs and metrics tell how old a host's
-// knowledge of the declarations is, and a version that cannot be decoded from a lost store.
+// TestStaleDeclarationsAreVisible guards against logs that hide how old the declarations are.
 func TestStaleDeclarationsAreVisible(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newTestCluster()
--- a/internal/process/node/takeover_test.go
+++ b/internal/process/node/takeover_test.go
@@ -128,8 +128,7 @@
 	f.node.background.Wait()
 }
 
-// TestTakeoverMissesNoDeclarations guards against an owner that places work by the version
-// of the declarations from before a takeover during which another one came.
+// TestTakeoverMissesNoDeclarations guards against an owner with a version from before.
 func TestTakeoverMissesNoDeclarations(t *testing.T) {
 	f := newTakeoverFixture(t)
 	f.deliver = func(i int) {
@@ -150,8 +149,7 @@
 	f.node.background.Wait()
 }
 
-// TestTakeoverMissesNoBounds guards against an owner that goes on with the platform's
-// limits from before a takeover during which they were changed.
+// TestTakeoverMissesNoBounds guards against an owner with the bounds from before.
 func TestTakeoverMissesNoBounds(t *testing.T) {
 	f := newTakeoverFixture(t)
 	n := f.node
--- a/internal/process/placer/deadlog_test.go
+++ b/internal/process/placer/deadlog_test.go
@@ -27,8 +27,7 @@
 	return l.Log.Read(ctx, stream, from, limit)
 }
 
-// TestConfigIsReadPastDeadConnection guards against a version that is in force more than
-// 3 s after its publication because a read of the log waits on a dead connection.
+// TestConfigIsReadPastDeadConnection guards against a version that waits for a dead connection.
 func TestConfigIsReadPastDeadConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		logger := logrus.New()
