Take the age of the declarations from the store's health; clearer names

storeHealth already keeps when the last answered call of each use was sent. Names only otherwise: OperatorRecords, declarationsUse, what the map of hosts holds.

--- a/internal/connection/httpcall/httpcall.go
+++ b/internal/connection/httpcall/httpcall.go
@@ -42,8 +42,8 @@
 type Client struct {
 	keepAlive *client.Client
 	oneShot   *client.Client
-	// hosts holds the keep-alive connections by address. The pointers are weak, as hertz
-	// drops hosts that are no longer called.
+	// hosts maps an address to the weak.Pointer[http1.HostClient] that holds its keep-alive
+	// connections. hertz drops hosts that are no longer called.
 	hosts *sync.Map
 }
 
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -83,9 +83,6 @@
 	// connection, which must not be one of peers.
 	probes *peer.Client
 	config atomic.Pointer[queue.Config]
-	// declarationsReadAt is when the last answered read of the declarations was sent, in
-	// nanoseconds of Clock; before the first one, when the node was started.
-	declarationsReadAt atomic.Int64
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -151,7 +148,6 @@
 	memberName := fmt.Sprintf("%s-%d", c.Host, time.Now().UnixNano())
 	n.member = group.New(c.Store, c.Clock, groupName, memberName, JobTopic)
 	n.observer = group.New(c.Store, c.Clock, observerGroupName, memberName, JobTopic)
-	n.declarationsReadAt.Store(int64(c.Clock()))
 	if err := n.registerGauges(); err != nil {
 		return nil, err
 	}
@@ -213,6 +209,9 @@
 // readyMaxOutage is how long a node stays ready without an answer from the store.
 const readyMaxOutage = 2500 * time.Millisecond
 
+// declarationsUse is the use of the store for which followDeclarations reports.
+const declarationsUse = "declarations"
+
 // followDeclarations applies each newer version of the declarations and ignores older
 // ones.
 func (n *Node) followDeclarations() {
@@ -221,12 +220,11 @@
 		c, err := n.Declarations.Next(n.ctx)
 		var unusable *queue.UnusableError
 		if err != nil && !errors.As(err, &unusable) {
-			n.storeHealth.reportFailure("declarations", sent, err)
+			n.storeHealth.reportFailure(declarationsUse, sent, err)
 			n.sleep(retryDelay)
 			continue
 		}
-		stale := n.storeHealth.reportSuccess("declarations", sent)
-		n.declarationsReadAt.Store(int64(sent))
+		stale := n.storeHealth.reportSuccess(declarationsUse, sent)
 		if err != nil {
 			event.QueuesRefused.Log(n.Logger, logrus.Fields{"error": err, "version": n.declaredVersion()})
 		}
@@ -264,9 +262,7 @@
 func (n *Node) registerGauges() error {
 	gauges := map[string]func() int64{
 		"declarations.version": n.declaredVersion,
-		"declarations.age_ms": func() int64 {
-			return (n.Clock() - time.Duration(n.declarationsReadAt.Load())).Milliseconds()
-		},
+		"declarations.age_ms":  func() int64 { return n.storeHealth.age(declarationsUse).Milliseconds() },
 	}
 	for name, value := range gauges {
 		if err := n.Metrics.Register(name, metrics.NewFunctionalGauge(value)); err != nil {
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -90,7 +90,9 @@
 	n.background.Go(func() { n.followWorkers(ownerCtx, d) })
 	n.startUpkeep(ownerCtx, d, previous)
 	n.count("shard.taken_over")
-	event.OwnershipGained.Log(n.Logger, logrus.Fields{"epoch": epoch, "claim": own.Claim, "previous": previous.Host, "jobs": len(n.table.All()), "queues_version": d.DeclaredVersion()})
+	event.OwnershipGained.Log(n.Logger, logrus.Fields{
+		"epoch": epoch, "claim": own.Claim, "previous": previous.Host, "jobs": len(n.table.All()), "queues_version": d.DeclaredVersion(),
+	})
 	return nil
 }
 
--- a/internal/process/node/storehealth.go
+++ b/internal/process/node/storehealth.go
@@ -17,13 +17,15 @@
 	logger *logrus.Logger
 	clock  bootclock.Clock
 
+	startedAt time.Duration
+
 	mu   sync.Mutex
 	uses map[string]*storeUse
 }
 
 // storeUse is the state of one use. Its times are those of the node's clock.
 type storeUse struct {
-	// answeredAt is when the last call that was answered was sent, or the first report.
+	// answeredAt is when the last call that was answered was sent, or the start.
 	answeredAt time.Duration
 	// failing is set during an outage, which was noticed at failedAt.
 	failing  bool
@@ -31,19 +33,26 @@
 }
 
 func newStoreHealth(logger *logrus.Logger, clock bootclock.Clock) *storeHealth {
-	return &storeHealth{logger: logger, clock: clock, uses: map[string]*storeUse{}}
+	return &storeHealth{logger: logger, clock: clock, startedAt: clock(), uses: map[string]*storeUse{}}
 }
 
 // use returns the state of a use. The caller holds mu.
 func (h *storeHealth) use(name string) *storeUse {
 	u, known := h.uses[name]
 	if !known {
-		u = &storeUse{answeredAt: h.clock()}
+		u = &storeUse{answeredAt: h.startedAt}
 		h.uses[name] = u
 	}
 	return u
 }
 
+// age returns the time since the last answered call for a use was sent, or since the start.
+func (h *storeHealth) age(name string) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.clock() - h.use(name).answeredAt
+}
+
 // reportFailure records that a call for a use, sent at the given time, failed. Cancelled
 // calls are ignored.
 func (h *storeHealth) reportFailure(name string, sent time.Duration, err error) {
--- a/internal/program/scheduler.go
+++ b/internal/program/scheduler.go
@@ -111,7 +111,7 @@
 		machines = p.machines
 	}
 	p.applySettings(s)
-	operators := platform.Operators{
+	operators := platform.OperatorRecords{
 		Store: storeClient, Within: s.Bounds.DeclarationsBound(),
 		OnOverdue: func(p store.Partition, waited time.Duration) {
 			metrics.GetOrRegisterCounter("store.answers_overdue", registry).Inc(1)
