Make no timers of no length: they crash the race detector in synctest bubbles

Cause: a timer channel whose time has come is run by the goroutine that selects on it, with the race context of its bubble, which two threads then use at once. It needs a timer of no length, since time in a bubble passes only while all goroutines wait. pause.For returns at once for such a pause, and a member's first join needs no timer.

--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/siskinvane/siskinvane/internal/platform/store"
+	"github.com/siskinvane/siskinvane/internal/process/pause"
 	"github.com/siskinvane/siskinvane/internal/process/bootclock"
 )
 
@@ -65,15 +66,8 @@
 	results := make(chan joinResult, 1)
 	wg.Go(func() { deliverResults(ctx, results, onResult) })
 	pending := make(chan struct{}, maxPendingJoins)
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-			timer.Reset(m.joinDelay())
-		}
+	for ctx.Err() == nil {
+		delay := m.joinDelay()
 		select {
 		case pending <- struct{}{}:
 			wg.Go(func() {
@@ -83,6 +77,8 @@
 			})
 		default:
 		}
+		// The loop ends with the context.
+		_ = pause.For(ctx, delay)
 	}
 }
 
