--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/siskinvane/siskinvane/internal/platform/store"
-	"github.com/siskinvane/siskinvane/internal/process/pause"
 	"github.com/siskinvane/siskinvane/internal/process/bootclock"
+	"github.com/siskinvane/siskinvane/internal/process/pause"
 )
 
 const (
