Count waiting jobs only from a table that was read lately

Cause: Node.Pending answered from the table whatever its age. It reads the log first now if the last read of its end is older than the 2 s that the count may be old, and the request is answered 503 with the time to come back if that fails.

--- a/internal/process/event/job.go
+++ b/internal/process/event/job.go
@@ -10,6 +10,7 @@
 	JobCancelled      = declare(7004, logrus.InfoLevel, "job cancelled")
 	JobInvalid        = declare(7005, logrus.InfoLevel, "job invalid")
 	StateUnanswered   = declare(7006, logrus.WarnLevel, "job's state not answered")
+	CountUnanswered   = declare(7007, logrus.WarnLevel, "number of waiting jobs not answered")
 
 	TaskStarted    = declare(7110, logrus.InfoLevel, "task started")
 	AttemptEnded   = declare(7111, logrus.InfoLevel, "attempt ended")
--- a/internal/process/node/jobs.go
+++ b/internal/process/node/jobs.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
@@ -101,5 +103,17 @@
 	return e.State(), nil
 }
 
-// Pending counts the jobs of a queue that have not started any task.
-func (n *Node) Pending(q queue.Name) int { return n.table.Pending(q) }
+// maxPendingAge is how old the count of waiting jobs may be that callers are told.
+const maxPendingAge = 2 * time.Second
+
+// Pending counts the jobs of a queue that have not started any task, as of maxPendingAge
+// ago or later. It reads the log first if the host has not done so lately, as after its
+// start, and returns the error of that read.
+func (n *Node) Pending(ctx context.Context, q queue.Name) (int, error) {
+	if n.SinceCaughtUp() > maxPendingAge {
+		if err := n.Refresh(ctx); err != nil {
+			return 0, fmt.Errorf("count waiting jobs of queue %s: %w", q, err)
+		}
+	}
+	return n.table.Pending(q), nil
+}
--- a/internal/process/node/load_test.go
+++ b/internal/process/node/load_test.go
@@ -105,3 +105,51 @@
 		c.stop(n)
 	})
 }
+
+// TestStartingHostCountsAllWaitingJobs: a host that had just started answered for the
+// number of waiting jobs from the part of the table that it had read.
+func TestStartingHostCountsAllWaitingJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster()
+		for i := range 1200 {
+			c.store.Put(store.Partition{Topic: JobTopic}, submissionRecord(t, job.ID(fmt.Sprintf("%016x", i+1))))
+		}
+		c.wrap = func(s store.Store) store.Store { return &slowLoads{Store: s, pageTime: 700 * time.Millisecond} }
+		n := c.startHost(t, "h1", 1)
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			if count, err := n.Pending(ctx, "q"); err == nil {
+				must.Eq(t, 1200, count)
+			}
+			cancel()
+		}
+		count, err := n.Pending(t.Context(), "q")
+		must.NoError(t, err)
+		must.Eq(t, 1200, count)
+		c.stop(n)
+	})
+}
+
+// TestCutOffHostDoesNotCountWaitingJobs: a host that had not read the log for long answered
+// for the number of waiting jobs from what it had read before.
+func TestCutOffHostDoesNotCountWaitingJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster()
+		n := c.startHost(t, "h1", 1)
+		time.Sleep(time.Second)
+		c.view("h1").Set(memstore.Unresponsive, 0)
+		time.Sleep(2 * maxPendingAge)
+		c.store.Put(store.Partition{Topic: JobTopic}, submissionRecord(t, jobID))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := n.Pending(ctx, "q")
+		must.Error(t, err)
+		c.view("h1").Set(memstore.Healthy, 0)
+		time.Sleep(2 * time.Second)
+		count, err := n.Pending(t.Context(), "q")
+		must.NoError(t, err)
+		must.Eq(t, 1, count)
+		c.stop(n)
+	})
+}
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -75,7 +75,7 @@
 	defer cancel()
 	rest := strings.TrimPrefix(path, q.Prefix)
 	if rest == "" && string(c.Method()) == "GET" {
-		c.Data(200, contentType, s.codec.EncodePending(s.node.Pending(q.Name)))
+		s.countPending(ctx, c, q.Name)
 		return
 	}
 	id, err := job.ParseID(rest)
@@ -186,6 +186,16 @@
 	}
 }
 
+func (s *Server) countPending(ctx context.Context, c *app.RequestContext, q queue.Name) {
+	n, err := s.node.Pending(ctx, q)
+	if err != nil {
+		event.CountUnanswered.Log(s.logger, logrus.Fields{"queue": q, "error": err})
+		s.retryLater(c, retryAfter(s.node.Outage()))
+		return
+	}
+	c.Data(200, contentType, s.codec.EncodePending(n))
+}
+
 func (s *Server) queryState(ctx context.Context, c *app.RequestContext, id job.ID) {
 	state, err := s.node.State(ctx, id)
 	switch {
