Count a job as running only once a worker has started one of its tasks

A start that a worker accepts, an attempt that it lists or an end counts now. The test failed before: running without any task.

--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -362,7 +362,8 @@
 	}
 }
 
-// markStarted records that work on a job has begun.
+// markStarted records that a worker has started a task of a job. An order alone does not
+// count: it may be withdrawn or refused, and the job then still waits.
 func (s *Shard) markStarted(j *jobState) {
 	if j.started {
 		return
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -298,6 +298,5 @@
 // issueStart sends the start order of an assumed attempt.
 func (p *placement) issueStart(a *attempt) {
 	p.startsLeft--
-	p.shard.markStarted(a.task.step.job)
 	p.shard.pending.Starts = append(p.shard.pending.Starts, p.shard.startAction(a))
 }
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -153,6 +153,7 @@
 
 // applyEndToTask updates a task after one of its attempts ended.
 func (s *Shard) applyEndToTask(now Instant, t *task, e fleet.Ended) {
+	s.markStarted(t.step.job)
 	t.lastAttempt = max(t.lastAttempt, e.Attempt)
 	if e.Checkpoint != "" && !t.done {
 		t.saveCheckpoint(e.Checkpoint)
@@ -225,6 +226,9 @@
 		a.phase, a.confirmedAt = running, now
 		a.startedAt = now
 	}
+	if t != nil {
+		s.markStarted(t.step.job)
+	}
 	if r.Progress > a.progress {
 		a.progressedAt = now
 	}
--- a/internal/scheduler/shard_test.go
+++ b/internal/scheduler/shard_test.go
@@ -41,6 +41,30 @@
 	must.Eq(t, job.Done, h.state(unlucky))
 }
 
+// TestJobWithoutAcceptedStartWaits: a job whose start orders no worker had accepted counted as
+// running, and no longer as waiting.
+func TestJobWithoutAcceptedStartWaits(t *testing.T) {
+	h := newHarness(t, 2)
+	h.run(time.Second)
+	for i := range 2 {
+		h.cluster.SetPartitioned(workerInfo(i).ID, true)
+	}
+	id := h.submit(firstID, nil, nil, batchStep(4))
+	h.plan()
+	h.record()
+	state, _ := h.shard.State(id)
+	must.Eq(t, job.Queued, state)
+	must.Eq(t, job.Queued, h.state(id))
+	for i := range 2 {
+		h.cluster.SetPartitioned(workerInfo(i).ID, false)
+	}
+	h.run(500 * time.Millisecond)
+	must.Eq(t, job.Running, h.state(id))
+	h.run(3 * time.Second)
+	h.checkViolations()
+	must.Eq(t, job.Done, h.state(id))
+}
+
 // TestLeaseOfUnresponsiveWorkerExpires: each retry to reach a lost worker requested a
 // longer lease, so that its tasks never started elsewhere.
 func TestLeaseOfUnresponsiveWorkerExpires(t *testing.T) {
