Leave the group when the shard cannot be taken over

Callers saw jobs that wait without end: the store's group had assigned the shard to a host whose joins it answered, while the host's reads or appends of the shard's partition failed. The host tried the takeover again with each join and kept the shard from all other members; nobody counted its failures. The same holds for a host that loads the jobs again after it has fallen behind.

A host that has held the shard for 4 s (two takeovers that time out) without taking it over now leaves the group (event 7212, counter shard.stepped_aside). A host that does not read the log stays out until it does, so that all come back together when a partition was silent for all; one that reads but cannot append stays out for 6 to 12 s.

TestHostThatCannotTakeOverLeavesShardToOthers failed before (no owner after 12 s; without end by the code). TestSilentPartitionEndsInOneTakeover and TestLoneHostTakesOverAfterSilence passed before and bound the cost: one takeover within 4 s of the partition's return, and at most 14 s for a lone host whose appends alone were silent.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -124,6 +124,13 @@
 	// takes the shard over.
 	inGroup    atomic.Bool
 	takingOver atomic.Bool
+	// unserved is the time for which the shard has been assigned to the host, which has not
+	// taken it over. steppingAside is set once the host has to leave the group for others,
+	// until it joins again. Both are used by handleAssignment and between memberships.
+	// stepAside then holds a token for the loop that joins.
+	unserved      stretch
+	steppingAside bool
+	stepAside     chan struct{}
 	// handBackAt is the time of the last attempt to hand the shard to a preferred host,
 	// used by runStandby only.
 	handBackAt time.Duration
@@ -141,6 +148,7 @@
 		probes: peer.NewClientOn(c.Network), watch: ownerWatch{aliveAt: c.Clock()}, handBackAt: c.Clock() - handBackInterval,
 	}
 	n.direct.node = n
+	n.stepAside = make(chan struct{}, 1)
 	n.open = newOpenWrites()
 	n.storeHealth = newStoreHealth(c.Logger, c.Clock)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -172,9 +180,7 @@
 	n.background.Go(n.offerToOwn)
 	n.background.Go(func() {
 		defer close(n.joinsEnded)
-		n.observeUntilLoaded(groupCtx)
-		n.inGroup.Store(true)
-		n.member.Run(groupCtx, n.handleAssignment)
+		n.runPreferred(groupCtx)
 	})
 	return n, nil
 }
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -10,6 +10,7 @@
 	"github.com/siskinvane/siskinvane/internal/platform/store"
 	"github.com/siskinvane/siskinvane/internal/process/dispatch"
 	"github.com/siskinvane/siskinvane/internal/process/event"
+	"github.com/siskinvane/siskinvane/internal/process/group"
 	"github.com/siskinvane/siskinvane/internal/process/maintain"
 	"github.com/siskinvane/siskinvane/internal/process/pause"
 	"github.com/siskinvane/siskinvane/internal/scheduler"
@@ -25,7 +26,8 @@
 // table is loaded, which may take far longer than takeOverTimeout. It releases the shard
 // once the dispatcher has given it up, mostly because another owner has been seen. Until
 // then the host keeps the shard, even if the group assigns it to another host or a join
-// fails.
+// fails. A host that does not take over a shard that it holds steps aside after
+// maxUnserved.
 func (n *Node) handleAssignment(a store.Assignment, err error) {
 	d := n.ownedDispatcher()
 	if d != nil && d.Err() != nil {
@@ -33,18 +35,44 @@
 		return
 	}
 	if err != nil {
+		if n.member.ConfirmationAge() > group.TTL {
+			// The store may have assigned the shard to another host meanwhile.
+			n.unserved.end()
+		}
 		return
 	}
-	if d != nil || !a.Holds(n.partition) || n.leaving.Load() || !n.loaded.Load() {
+	if d != nil || !a.Holds(n.partition) || n.leaving.Load() || n.steppingAside {
+		n.unserved.end()
 		return
 	}
+	err = errNotLoaded
+	lasted := n.unserved.lasts(n.Clock())
+	if n.loaded.Load() {
+		if err = n.claim(a.Epoch); err == nil {
+			n.unserved.end()
+			return
+		}
+		lasted = n.unserved.lasts(n.Clock())
+	}
+	if lasted >= maxUnserved {
+		n.unserved.end()
+		n.requestStepAside(lasted, err)
+	}
+}
+
+var errNotLoaded = errors.New("the jobs are not loaded")
+
+// claim takes over the shard. After an error the store may assign it to another host.
+func (n *Node) claim(epoch platform.Epoch) error {
 	n.takingOver.Store(true)
 	defer n.takingOver.Store(false)
 	n.member.Keep(true)
-	if err := n.takeOver(a.Epoch); err != nil {
-		event.OwnershipFailed.Log(n.Logger, logrus.Fields{"epoch": a.Epoch, "error": err})
+	err := n.takeOver(epoch)
+	if err != nil {
+		event.OwnershipFailed.Log(n.Logger, logrus.Fields{"epoch": epoch, "error": err})
 		n.member.Keep(false)
 	}
+	return err
 }
 
 // dropShard releases the shard after its dispatcher d has given it up.
--- a/internal/process/node/standby.go
+++ b/internal/process/node/standby.go
@@ -200,13 +200,19 @@
 	event.StandbyJoined.Log(n.Logger, logrus.Fields{
 		"last_owner": n.table.Owner().Host, "owner_silent_ms": (joinedAt - n.ownerAliveAt()).Milliseconds(), "link_mbps": n.LinkMbps,
 	})
-	n.inGroup.Store(true)
-	stop := startJoins(ctx, n.member, n.handleAssignment)
+	stop := n.startMembership(ctx)
 	defer func() { stop() }()
 	for ctx.Err() == nil {
 		_ = pause.For(ctx, standbyPollInterval)
 		aliveAt := n.ownerAliveAt()
 		switch {
+		case n.mustStepAside():
+			stop()
+			n.leaveGroupTemporarily(ctx)
+			if n.readsLog() {
+				n.observeFor(ctx, minStepAside)
+			}
+			return
 		case n.OwnsShard():
 			host, offered := n.acceptedOffer()
 			if !offered {
@@ -220,7 +226,7 @@
 		case !n.takingOver.Load() && aliveAt > joinedAt:
 			stop()
 			if !n.OwnsShard() {
-				n.leaveAsStandby(ctx)
+				n.leaveGroupTemporarily(ctx)
 				return
 			}
 			// The takeover began meanwhile.
@@ -241,9 +247,9 @@
 	return offer.Host, true
 }
 
-// leaveAsStandby leaves the group. If the store does not answer, the membership
-// expires.
-func (n *Node) leaveAsStandby(ctx context.Context) {
+// leaveGroupTemporarily leaves the group until the host joins it again. If the store does
+// not answer, the membership expires.
+func (n *Node) leaveGroupTemporarily(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, group.TTL)
 	defer cancel()
 	sent := n.Clock()
--- /dev/null
+++ b/internal/process/node/stepaside.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/siskinvane/siskinvane/internal/process/event"
+	"github.com/siskinvane/siskinvane/internal/process/pause"
+)
+
+// The store answers for the membership of a host that cannot serve the shard: its calls to
+// the shard's partition may fail while its joins are answered. Such a host leaves the group
+// for a while, so that the store assigns the shard to another one.
+
+const (
+	// maxUnserved is how long a host may hold the shard without taking it over. It covers
+	// two takeovers that time out.
+	maxUnserved = 2 * takeOverTimeout
+	// minStepAside is how long a host that reads the log, but cannot take over, stays out of
+	// the group. It is longer than maxUnserved, since the next host may be unable as well.
+	// The time doubles while nobody takes over, up to maxStepAside.
+	minStepAside = 6 * time.Second
+	maxStepAside = 12 * time.Second
+)
+
+// stretch measures how long something has been the case.
+type stretch struct {
+	since   time.Duration
+	running bool
+}
+
+// lasts returns how long it has been the case, which it still is.
+func (s *stretch) lasts(now time.Duration) time.Duration {
+	if !s.running {
+		s.since, s.running = now, true
+	}
+	return now - s.since
+}
+
+// end records that it is not the case any more.
+func (s *stretch) end() { s.running = false }
+
+// requestStepAside makes the host leave the group for a while because of err, after it has
+// kept the shard without serving it for the given time.
+func (n *Node) requestStepAside(unserved time.Duration, err error) {
+	event.SteppedAside.Log(n.Logger, logrus.Fields{"unserved_ms": unserved.Milliseconds(), "error": err})
+	n.count("shard.stepped_aside")
+	n.steppingAside = true
+	select {
+	case n.stepAside <- struct{}{}:
+	default:
+	}
+}
+
+// mustStepAside reports whether the host has to leave the group for a while.
+func (n *Node) mustStepAside() bool {
+	select {
+	case <-n.stepAside:
+		return true
+	default:
+		return false
+	}
+}
+
+// startMembership joins the group of the shards.
+func (n *Node) startMembership(ctx context.Context) (stop func()) {
+	n.mustStepAside()
+	n.steppingAside = false
+	n.inGroup.Store(true)
+	return startJoins(ctx, n.member, n.handleAssignment)
+}
+
+// runPreferred keeps a preferred host in the group until ctx is done, except while it
+// cannot serve the shard.
+func (n *Node) runPreferred(ctx context.Context) {
+	aside := minStepAside
+	for ctx.Err() == nil {
+		n.observeUntilLoaded(ctx)
+		claim := n.table.Owner().Claim
+		stop := n.startMembership(ctx)
+		select {
+		case <-ctx.Done():
+		case <-n.stepAside:
+		}
+		stop()
+		if ctx.Err() != nil {
+			return
+		}
+		n.leaveGroupTemporarily(ctx)
+		if n.table.Owner().Claim != claim {
+			aside = minStepAside
+		}
+		if n.readsLog() {
+			n.observeFor(ctx, aside)
+			aside = min(2*aside, maxStepAside)
+		}
+		n.observeUntilReading(ctx)
+	}
+}
+
+// readsLog reports whether the host has lately read the log to its end.
+func (n *Node) readsLog() bool { return n.SinceCaughtUp() <= maxReadAge }
+
+// observeFor returns after d or when ctx is done.
+func (n *Node) observeFor(ctx context.Context, d time.Duration) {
+	defer n.startObserving(ctx)()
+	_ = pause.For(ctx, d)
+}
+
+// observeUntilReading returns once the host reads the log to its end, or ctx is done. A
+// silent partition is mostly so for all hosts, which then come back at the same time.
+func (n *Node) observeUntilReading(ctx context.Context) {
+	if n.readsLog() {
+		return
+	}
+	defer n.startObserving(ctx)()
+	for ctx.Err() == nil && !n.readsLog() {
+		_ = pause.For(ctx, standbyPollInterval)
+	}
+}
--- /dev/null
+++ b/internal/process/node/stepaside_test.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+	"github.com/siskinvane/siskinvane/internal/platform"
+	"github.com/siskinvane/siskinvane/internal/platform/store"
+)
+
+// partlySilentStore is a store that answers joins, and no reads or appends of the shard's
+// partition while they are silent.
+type partlySilentStore struct {
+	store.Store
+	silentReads, silentAppends atomic.Bool
+}
+
+// silence waits as long as a call does that gets no answer.
+func silence(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(1500 * time.Millisecond):
+	}
+	return platform.ErrOutcomeUnknown
+}
+
+// Read implements store.Store.
+func (s *partlySilentStore) Read(ctx context.Context, p store.Partition, from platform.Offset, wait time.Duration) (store.Page, error) {
+	if s.silentReads.Load() {
+		return store.Page{}, silence(ctx)
+	}
+	return s.Store.Read(ctx, p, from, wait)
+}
+
+// Append implements store.Store.
+func (s *partlySilentStore) Append(ctx context.Context, p store.Partition, records []store.Record, w *store.Writer) (platform.Offset, error) {
+	if s.silentAppends.Load() {
+		return 0, silence(ctx)
+	}
+	return s.Store.Append(ctx, p, records, w)
+}
+
+// newPartlySilentFleet starts hosts. The store prefers the first ones, and the first one
+// owns the shard.
+func newPartlySilentFleet(t *testing.T, names ...string) (*fleetOf, map[string]*partlySilentStore) {
+	f := &fleetOf{testCluster: newTestCluster(), t: t, nodes: map[string]*Node{}}
+	stores := map[string]*partlySilentStore{}
+	for _, name := range names {
+		f.wrap = func(s store.Store) store.Store {
+			stores[name] = &partlySilentStore{Store: s}
+			return stores[name]
+		}
+		f.start(name)
+		time.Sleep(3 * time.Second)
+	}
+	must.Eq(t, names[0], f.owner())
+	return f, stores
+}
+
+// TestHostThatCannotTakeOverLeavesShardToOthers: the store assigned the shard to a host
+// whose joins it answered, but not its reads or appends, and jobs waited without end
+// beside hosts that could have taken over.
+func TestHostThatCannotTakeOverLeavesShardToOthers(t *testing.T) {
+	silences := []func(*partlySilentStore){
+		func(s *partlySilentStore) { s.silentReads.Store(true) },
+		func(s *partlySilentStore) { s.silentAppends.Store(true) },
+	}
+	for _, names := range [][]string{{"u", "v", "w", "x"}, {"a", "b", "c", "d"}} {
+		for _, silence := range silences {
+			synctest.Test(t, func(t *testing.T) {
+				f, stores := newPartlySilentFleet(t, names...)
+				silence(stores[names[1]])
+				silence(stores[names[2]])
+				f.kill(names[0])
+				able := names[3]
+				f.awaitOwner(15*time.Second, func(owner string) bool { return owner == able })
+				must.Eq(t, []string{able}, f.watchOwners(20*time.Second))
+				must.Eq(t, 2, f.claims())
+				f.stopAll()
+			})
+		}
+	}
+}
+
+// TestSilentPartitionEndsInOneTakeover guards against hosts that are all out of the group
+// when a partition that was silent for all of them answers again, and against a shard that
+// then goes from one to the other.
+func TestSilentPartitionEndsInOneTakeover(t *testing.T) {
+	for _, outage := range []time.Duration{4 * time.Second, 15 * time.Second, 31 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			f, stores := newPartlySilentFleet(t, "u", "v", "w")
+			for _, s := range stores {
+				s.silentReads.Store(true)
+				s.silentAppends.Store(true)
+			}
+			f.kill("u")
+			time.Sleep(outage)
+			for _, s := range stores {
+				s.silentReads.Store(false)
+				s.silentAppends.Store(false)
+			}
+			f.awaitOwner(4*time.Second, func(owner string) bool { return owner != "" })
+			must.Len(t, 1, f.watchOwners(20*time.Second))
+			must.Eq(t, 2, f.claims())
+			for _, n := range f.nodes {
+				must.LessEq(t, 2, metrics.GetOrRegisterCounter("shard.stepped_aside", n.Metrics).Count())
+			}
+			f.stopAll()
+		})
+	}
+}
+
+// TestLoneHostTakesOverAfterSilence guards against a host that is out of the group for long
+// although there is no other.
+func TestLoneHostTakesOverAfterSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster()
+		silent := &partlySilentStore{Store: c.view("h1")}
+		c.wrap = func(store.Store) store.Store { return silent }
+		silent.silentAppends.Store(true)
+		n := c.startHost(t, "h1", 1)
+		time.Sleep(40 * time.Second)
+		must.False(t, n.OwnsShard())
+		silent.silentAppends.Store(false)
+		time.Sleep(maxStepAside + 2*time.Second)
+		must.True(t, n.OwnsShard())
+		c.stop(n)
+	})
+}
