Take the shard over once per epoch

A host that had given the shard up while the store still assigned it to the host took it over again under the same epoch. Its new writer began with the sequence numbers of the old one, so the store answered the first appends with the results of the earlier ones and stored nothing: a submission was acknowledged to its caller with 200 and lost, and so was the record of the claim.

The store assigns a new epoch to a host that leaves and joins again, which also fences appends of the earlier ownership that are carried out late.

The owner gives the shard up while it is assigned if a worker or a machine knows a later token, or if the store refuses a sequence number. TestRecordsAfterLossAreStored failed before: the second submission was answered with success and the store had no record of it.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -126,11 +126,13 @@
 	takingOver atomic.Bool
 	// unserved is the time for which the shard has been assigned to the host, which has not
 	// taken it over. steppingAside is set once the host has to leave the group for others,
-	// until it joins again. Both are used by handleAssignment and between memberships.
-	// stepAside then holds a token for the loop that joins.
+	// until it joins again, and ownedEpoch is that of the last takeover. They are used by
+	// handleAssignment and between memberships. stepAside holds the reason to leave for the
+	// loop that joins.
 	unserved      stretch
 	steppingAside bool
-	stepAside     chan struct{}
+	ownedEpoch    platform.Epoch
+	stepAside     chan error
 	// handBackAt is the time of the last attempt to hand the shard to a preferred host,
 	// used by runStandby only.
 	handBackAt time.Duration
@@ -148,7 +150,7 @@
 		probes: peer.NewClientOn(c.Network), watch: ownerWatch{aliveAt: c.Clock()}, handBackAt: c.Clock() - handBackInterval,
 	}
 	n.direct.node = n
-	n.stepAside = make(chan struct{}, 1)
+	n.stepAside = make(chan error, 1)
 	n.open = newOpenWrites()
 	n.storeHealth = newStoreHealth(c.Logger, c.Clock)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -45,22 +45,30 @@
 		n.unserved.end()
 		return
 	}
-	err = errNotLoaded
-	lasted := n.unserved.lasts(n.Clock())
-	if n.loaded.Load() {
+	limit, lasted := maxUnserved, n.unserved.lasts(n.Clock())
+	switch {
+	case a.Epoch <= n.ownedEpoch:
+		// The store takes records under a used epoch for repetitions of earlier ones.
+		err, limit = errEpochUsed, group.TTL
+	case !n.loaded.Load():
+		err = errNotLoaded
+	default:
 		if err = n.claim(a.Epoch); err == nil {
 			n.unserved.end()
 			return
 		}
 		lasted = n.unserved.lasts(n.Clock())
 	}
-	if lasted >= maxUnserved {
+	if lasted >= limit {
 		n.unserved.end()
 		n.requestStepAside(lasted, err)
 	}
 }
 
-var errNotLoaded = errors.New("the jobs are not loaded")
+var (
+	errNotLoaded = errors.New("the jobs are not loaded")
+	errEpochUsed = errors.New("the host has owned the shard under this epoch")
+)
 
 // claim takes over the shard. After an error the store may assign it to another host.
 func (n *Node) claim(epoch platform.Epoch) error {
@@ -71,8 +79,10 @@
 	if err != nil {
 		event.OwnershipFailed.Log(n.Logger, logrus.Fields{"epoch": epoch, "error": err})
 		n.member.Keep(false)
+		return err
 	}
-	return err
+	n.ownedEpoch = epoch
+	return nil
 }
 
 // dropShard releases the shard after its dispatcher d has given it up.
--- a/internal/process/node/standby.go
+++ b/internal/process/node/standby.go
@@ -204,15 +204,16 @@
 	defer func() { stop() }()
 	for ctx.Err() == nil {
 		_ = pause.For(ctx, standbyPollInterval)
-		aliveAt := n.ownerAliveAt()
-		switch {
-		case n.mustStepAside():
+		if reason, asked := n.takeStepAside(); asked {
 			stop()
 			n.leaveGroupTemporarily(ctx)
-			if n.readsLog() {
+			if n.readsLog() && !errors.Is(reason, errEpochUsed) {
 				n.observeFor(ctx, minStepAside)
 			}
 			return
+		}
+		aliveAt := n.ownerAliveAt()
+		switch {
 		case n.OwnsShard():
 			host, offered := n.acceptedOffer()
 			if !offered {
--- a/internal/process/node/stepaside.go
+++ b/internal/process/node/stepaside.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/siskinvane/siskinvane/internal/process/event"
+	"github.com/siskinvane/siskinvane/internal/process/group"
 	"github.com/siskinvane/siskinvane/internal/process/pause"
 )
 
@@ -22,6 +24,9 @@
 	// The time doubles while nobody takes over, up to maxStepAside.
 	minStepAside = 6 * time.Second
 	maxStepAside = 12 * time.Second
+	// newEpochStepAside is how long a host stays out that needs a new epoch. Its membership
+	// expires by then even if the request to leave is lost.
+	newEpochStepAside = group.TTL + 200*time.Millisecond
 )
 
 // stretch measures how long something has been the case.
@@ -48,24 +53,24 @@
 	n.count("shard.stepped_aside")
 	n.steppingAside = true
 	select {
-	case n.stepAside <- struct{}{}:
+	case n.stepAside <- err:
 	default:
 	}
 }
 
-// mustStepAside reports whether the host has to leave the group for a while.
-func (n *Node) mustStepAside() bool {
+// takeStepAside returns why the host has to leave the group for a while, if it has to.
+func (n *Node) takeStepAside() (reason error, asked bool) {
 	select {
-	case <-n.stepAside:
-		return true
+	case reason = <-n.stepAside:
+		return reason, true
 	default:
-		return false
+		return nil, false
 	}
 }
 
 // startMembership joins the group of the shards.
 func (n *Node) startMembership(ctx context.Context) (stop func()) {
-	n.mustStepAside()
+	n.takeStepAside()
 	n.steppingAside = false
 	n.inGroup.Store(true)
 	return startJoins(ctx, n.member, n.handleAssignment)
@@ -79,9 +84,10 @@
 		n.observeUntilLoaded(ctx)
 		claim := n.table.Owner().Claim
 		stop := n.startMembership(ctx)
+		var reason error
 		select {
 		case <-ctx.Done():
-		case <-n.stepAside:
+		case reason = <-n.stepAside:
 		}
 		stop()
 		if ctx.Err() != nil {
@@ -91,7 +97,10 @@
 		if n.table.Owner().Claim != claim {
 			aside = minStepAside
 		}
-		if n.readsLog() {
+		switch {
+		case errors.Is(reason, errEpochUsed):
+			n.observeFor(ctx, newEpochStepAside)
+		case n.readsLog():
 			n.observeFor(ctx, aside)
 			aside = min(2*aside, maxStepAside)
 		}
