Give the shard up when the owner cannot act

Callers saw jobs that wait without end beside hosts that could have run them. The store answered the joins of the owner, so it stayed the owner, while its reads of the log failed (MayAct is false, no order is sent) or its first record never got an answer (no worker is enrolled, so nothing starts). Nobody aged that state.

Each answered join now checks whether the owner serves the shard: its record is in the log and MayAct holds. After AuthorityBound (10 s) without that it gives the shard up and leaves the group, like a host that cannot take over. The leases that it granted have run out by then, and an outage of 9 s that a quorum of workers bridges does not come near: MayAct turns false only after 10 s with a quorum. If the partition is silent for all hosts, nobody takes over until it answers, and then one host does.

TestOwnerThatCannotActLeavesShardToOthers failed before (the same owner after 16.5 s; without end by the code). TestOwnerOutlastsSilentPartition: the owner stays through 9 s; after 40 s there is one owner within 4 s, and one more claim at most.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -69,6 +69,8 @@
 	finalRecordDone chan struct{}
 	// stopping is set before stopRequested is closed.
 	stopping atomic.Bool
+	// claimed is set once the ownership record is in the log.
+	claimed atomic.Bool
 	// waitingGauges are the gauges of waiting tasks, by priority. Only planLoop uses them.
 	waitingGauges map[int]metrics.Gauge
 	// learnedRecordedAt is when the learned state was last recorded, lastExpiryAt when
@@ -320,6 +322,10 @@
 	return age < scheduler.AuthorityBound && d.shard.HasQuorum(d.Clock())
 }
 
+// Serving reports whether the host may send orders as the shard's owner and can have
+// started tasks, which needs its ownership record in the log.
+func (d *Dispatcher) Serving() bool { return d.claimed.Load() && d.MayAct() }
+
 // planLoop makes a plan periodically and whenever one is requested, but leaves a pause
 // after each plan.
 func (d *Dispatcher) planLoop() {
--- a/internal/process/dispatch/record.go
+++ b/internal/process/dispatch/record.go
@@ -131,6 +131,7 @@
 		d.Relinquish(err)
 		return
 	}
+	d.claimed.Store(true)
 	d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) { s.ClaimRecorded(now) })
 }
 
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -125,7 +125,7 @@
 	inGroup    atomic.Bool
 	takingOver atomic.Bool
 	// unserved is the time for which the shard has been assigned to the host, which has not
-	// taken it over. steppingAside is set once the host has to leave the group for others,
+	// taken it over or, as the owner, cannot act. steppingAside is set once the host has to leave the group for others,
 	// until it joins again, and ownedEpoch is that of the last takeover. They are used by
 	// handleAssignment and between memberships. stepAside holds the reason to leave for the
 	// loop that joins.
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -41,7 +41,11 @@
 		}
 		return
 	}
-	if d != nil || !a.Holds(n.partition) || n.leaving.Load() || n.steppingAside {
+	if d != nil {
+		n.checkServing(d)
+		return
+	}
+	if !a.Holds(n.partition) || n.leaving.Load() || n.steppingAside {
 		n.unserved.end()
 		return
 	}
@@ -66,10 +70,28 @@
 }
 
 var (
-	errNotLoaded = errors.New("the jobs are not loaded")
-	errEpochUsed = errors.New("the host has owned the shard under this epoch")
+	errNotLoaded  = errors.New("the jobs are not loaded")
+	errNotServing = errors.New("the owner cannot confirm or record its ownership")
+	errEpochUsed  = errors.New("the host has owned the shard under this epoch")
 )
 
+// checkServing gives the shard up once the dispatcher d has been unable to serve it for
+// maxNotServing, although the store answers the host's joins.
+func (n *Node) checkServing(d *dispatch.Dispatcher) {
+	if d.Serving() || n.leaving.Load() {
+		n.unserved.end()
+		return
+	}
+	lasted := n.unserved.lasts(n.Clock())
+	if lasted < maxNotServing {
+		return
+	}
+	n.unserved.end()
+	d.Relinquish(errNotServing)
+	n.dropShard(d)
+	n.requestStepAside(lasted, errNotServing)
+}
+
 // claim takes over the shard. After an error the store may assign it to another host.
 func (n *Node) claim(epoch platform.Epoch) error {
 	n.takingOver.Store(true)
--- a/internal/process/node/stepaside.go
+++ b/internal/process/node/stepaside.go
@@ -9,6 +9,7 @@
 	"github.com/siskinvane/siskinvane/internal/process/event"
 	"github.com/siskinvane/siskinvane/internal/process/group"
 	"github.com/siskinvane/siskinvane/internal/process/pause"
+	"github.com/siskinvane/siskinvane/internal/scheduler"
 )
 
 // The store answers for the membership of a host that cannot serve the shard: its calls to
@@ -19,6 +20,9 @@
 	// maxUnserved is how long a host may hold the shard without taking it over. It covers
 	// two takeovers that time out.
 	maxUnserved = 2 * takeOverTimeout
+	// maxNotServing is how long an owner may be unable to act. The leases that it has granted
+	// are over by then, so that nothing that it could go on with is lost.
+	maxNotServing = scheduler.AuthorityBound
 	// minStepAside is how long a host that reads the log, but cannot take over, stays out of
 	// the group. It is longer than maxUnserved, since the next host may be unable as well.
 	// The time doubles while nobody takes over, up to maxStepAside.
--- a/internal/process/node/stepaside_test.go
+++ b/internal/process/node/stepaside_test.go
@@ -11,13 +11,14 @@
 	"github.com/shoenig/test/must"
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/store"
+	"github.com/siskinvane/siskinvane/internal/scheduler"
 )
 
 // partlySilentStore is a store that answers joins, and no reads or appends of the shard's
-// partition while they are silent.
+// partition while they are silent; silentRecords are the appends that contain records.
 type partlySilentStore struct {
 	store.Store
-	silentReads, silentAppends atomic.Bool
+	silentReads, silentAppends, silentRecords atomic.Bool
 }
 
 // silence waits as long as a call does that gets no answer.
@@ -39,12 +40,63 @@
 
 // Append implements store.Store.
 func (s *partlySilentStore) Append(ctx context.Context, p store.Partition, records []store.Record, w *store.Writer) (platform.Offset, error) {
-	if s.silentAppends.Load() {
+	if s.silentAppends.Load() || s.silentRecords.Load() && len(records) > 0 {
 		return 0, silence(ctx)
 	}
 	return s.Store.Append(ctx, p, records, w)
 }
 
+// TestOwnerThatCannotActLeavesShardToOthers: the store answered the joins of the owner, but
+// not its reads, or never its first record. It kept the shard and started nothing.
+func TestOwnerThatCannotActLeavesShardToOthers(t *testing.T) {
+	for _, names := range [][]string{{"u", "v", "w"}, {"a", "b", "c"}} {
+		isLast := func(owner string) bool { return owner == names[2] }
+		synctest.Test(t, func(t *testing.T) {
+			f, stores := newPartlySilentFleet(t, names...)
+			f.kill(names[1])
+			stores[names[0]].silentReads.Store(true)
+			f.awaitOwner(scheduler.AuthorityWindow+maxNotServing+4*time.Second, isLast)
+			must.Eq(t, []string{names[2]}, f.watchOwners(20*time.Second))
+			must.Eq(t, 2, f.claims())
+			f.stopAll()
+		})
+		synctest.Test(t, func(t *testing.T) {
+			f, stores := newPartlySilentFleet(t, names...)
+			stores[names[1]].silentRecords.Store(true)
+			f.kill(names[0])
+			f.awaitOwner(maxNotServing+6*time.Second, isLast)
+			must.Eq(t, []string{names[2]}, f.watchOwners(20*time.Second))
+			must.Eq(t, 2, f.claims())
+			f.stopAll()
+		})
+	}
+}
+
+// TestOwnerOutlastsSilentPartition guards against an owner that gives the shard up during an
+// outage that it could bridge, and against a shard that then goes from host to host.
+func TestOwnerOutlastsSilentPartition(t *testing.T) {
+	for _, outage := range []time.Duration{9 * time.Second, 40 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			f, stores := newPartlySilentFleet(t, "u", "v", "w")
+			for _, s := range stores {
+				s.silentReads.Store(true)
+				s.silentAppends.Store(true)
+			}
+			time.Sleep(outage)
+			must.Eq(t, 1, f.claims())
+			must.Eq(t, outage < maxNotServing, f.owner() == "u")
+			for _, s := range stores {
+				s.silentReads.Store(false)
+				s.silentAppends.Store(false)
+			}
+			f.awaitOwner(4*time.Second, func(owner string) bool { return owner != "" })
+			must.Len(t, 1, f.watchOwners(20*time.Second))
+			must.LessEq(t, 2, f.claims())
+			f.stopAll()
+		})
+	}
+}
+
 // newPartlySilentFleet starts hosts. The store prefers the first ones, and the first one
 // owns the shard.
 func newPartlySilentFleet(t *testing.T, names ...string) (*fleetOf, map[string]*partlySilentStore) {
