Set workers aside that refuse start after start

A worker that answers renewals but refuses each start order (409 for its capacity, its clock or the attempt, 400, 421) was rated best again by the next plan, since nothing had changed but the attempt number. A task waited without end beside free workers, its job shown as running, and the owner sent a start every few milliseconds. Only refusals because of the worker's health (429, 503) counted.

Three refusals in a row now set a worker aside like one that reports poor health, with the same backoff and one task to try afterwards. Orders that were under way together count as one: they say the same, and room that is given away meanwhile is no fault of the worker.

TestRefusingWorkerKeepsNoTaskWaiting failed before for room, invalid, other_run, late, old and ticket: a task that fits two other workers was not done after 4 s, and w00 refused 6400 orders in 7 s of a stream of jobs. It passed for unhealthy.

--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -17,6 +17,10 @@
 	asideFor   time.Duration
 	// probing is set while the worker gets one task at a time.
 	probing bool
+	// refusals counts the start orders that were refused since one was accepted, those that
+	// were under way together as one. refusedAt is when the last one was refused.
+	refusals  int
+	refusedAt Instant
 }
 
 const (
@@ -24,6 +28,9 @@
 	// before it is set aside. Up to 5% of tasks fail through their own fault, and some
 	// jobs fail everywhere.
 	setAsideFailures = 2
+	// maxRefusals is how many start orders in a row a worker may refuse for reasons other
+	// than its health, such as capacity that is not free yet, before it is set aside.
+	maxRefusals = 3
 	// minSetAside and maxSetAside bound how long a worker is set aside: workers' faults
 	// last 4 to 7 s, and a worker is a sixtieth of the capacity.
 	minSetAside = 1500 * time.Millisecond
@@ -53,6 +60,25 @@
 	return false
 }
 
+// recordRefusal records that the worker has refused a start order sent at the time sent, be
+// it because of its own health, and reports whether the worker was set aside because of
+// that. A worker that refuses each order would otherwise be chosen again at once, since
+// nothing else has changed.
+func (h *health) recordRefusal(now, sent Instant, unhealthy bool) bool {
+	if sent >= h.refusedAt {
+		h.refusals++
+		h.refusedAt = now
+	}
+	if now < h.asideUntil || !unhealthy && h.refusals < maxRefusals {
+		return false
+	}
+	h.setAside(now)
+	return true
+}
+
+// recordAcceptance records that the worker has accepted a start order.
+func (h *health) recordAcceptance() { h.refusals = 0 }
+
 // setAside keeps new tasks off the worker, with exponential backoff.
 func (h *health) setAside(now Instant) {
 	if now < h.asideUntil {
--- a/internal/scheduler/health_test.go
+++ b/internal/scheduler/health_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/siskinvane/siskinvane/internal/platform/fleet"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
@@ -74,3 +75,32 @@
 	}
 	h.checkViolations()
 }
+
+// TestRefusingWorkerKeepsNoTaskWaiting: a worker that answered all but refused each start
+// was chosen again at once, and tasks waited without end beside free workers.
+func TestRefusingWorkerKeepsNoTaskWaiting(t *testing.T) {
+	verdicts := []fleet.Verdict{fleet.RefusedCapacity, fleet.RefusedInvalid, fleet.RefusedOtherRun, fleet.RefusedExpired, fleet.RefusedEnded, fleet.RefusedTicket, fleet.RefusedUnhealthy}
+	for _, v := range verdicts {
+		t.Run(v.String(), func(t *testing.T) {
+			h := newHarness(t, 3)
+			h.cluster.RefuseStarts("w00", v)
+			h.run(time.Second)
+			id := h.submit(firstID, nil, nil, batchStep(1))
+			h.run(4 * time.Second)
+			must.Eq(t, job.Done, h.state(id))
+			ids := submitStream(h, 60)
+			must.Less(t, 40, h.cluster.RefusedStartsOn("w00"))
+			h.cluster.RefuseStarts("w00", 0)
+			h.run(8 * time.Second)
+			for _, id := range ids {
+				must.Eq(t, job.Done, h.state(id))
+			}
+			for i := range 20 {
+				h.submit(fmt.Sprintf("%016x", 0xc00+i), fixedLength(0.5), nil, batchStep(2))
+				h.run(100 * time.Millisecond)
+			}
+			must.Positive(t, h.cluster.StartsOn("w00"))
+			h.checkViolations()
+		})
+	}
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -36,7 +36,7 @@
 	case !a.worker.clock.known:
 		// The worker has restarted since the plan. Without its clock no lease end can
 		// be given.
-		s.handleRefusedStart(now, a, false)
+		s.handleRefusedStart(now, a)
 		return StartAction{}, false
 	}
 	a.orderedAt, a.startSent = now, true
@@ -55,9 +55,10 @@
 	case errors.Is(err, platform.ErrOutcomeUnknown):
 		s.handleUnansweredStart(now, a)
 	case err != nil:
-		s.handleRefusedStart(now, a, false)
+		s.handleRefusedStart(now, a)
 	case answer.Verdict == fleet.Accepted:
 		a.worker.updateClock(now, action.Run, answer.Clock)
+		a.worker.health.recordAcceptance()
 		if a.phase == starting {
 			a.phase, a.confirmedAt, a.startedAt = running, now, now
 			s.markStarted(a.task.step.job)
@@ -75,7 +76,10 @@
 		if answer.Verdict == fleet.RefusedTicket {
 			a.task.step.discardTicket(a.worker)
 		}
-		s.handleRefusedStart(now, a, answer.Verdict == fleet.RefusedUnhealthy)
+		if a.worker.health.recordRefusal(now, a.orderedAt, answer.Verdict == fleet.RefusedUnhealthy) {
+			s.noteSetAside(now, a.worker, "refuses tasks")
+		}
+		s.handleRefusedStart(now, a)
 	}
 }
 
@@ -121,15 +125,11 @@
 
 // handleRefusedStart drops an attempt whose start order was refused, unless an earlier
 // try of the order may still be carried out; it is then stopped.
-func (s *Shard) handleRefusedStart(now Instant, a *attempt, unhealthy bool) {
+func (s *Shard) handleRefusedStart(now Instant, a *attempt) {
 	if a.startUncertain {
 		s.stopAttempt(now, a, reasonUnanswered)
 		return
 	}
-	if unhealthy {
-		a.worker.health.setAside(now)
-		s.noteSetAside(now, a.worker, "refuses tasks")
-	}
 	s.dropAttempt(now, a)
 }
 
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -156,7 +156,10 @@
 	speed float64
 	// failing makes every attempt fail at its end; stalled stops all progress.
 	failing, stalled bool
-	startCount       int
+	// refusal is the verdict on every start order, or zero; refusedStarts counts them.
+	refusal       fleet.Verdict
+	refusedStarts int
+	startCount    int
 }
 
 // end is the end of an attempt at a time.
@@ -289,6 +292,20 @@
 	c.workers[id].failing, c.workers[id].stalled = failing, stalled
 }
 
+// RefuseStarts makes a worker refuse all start orders with a verdict, or none if it is zero.
+func (c *Cluster) RefuseStarts(id platform.WorkerID, v fleet.Verdict) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.workers[id].refusal = v
+}
+
+// RefusedStartsOn returns the number of start orders that RefuseStarts has refused.
+func (c *Cluster) RefusedStartsOn(id platform.WorkerID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.workers[id].refusedStarts
+}
+
 // StartsOn returns the number of attempts started on a worker.
 func (c *Cluster) StartsOn(id platform.WorkerID) int {
 	c.mu.Lock()
--- a/internal/standin/cluster/run.go
+++ b/internal/standin/cluster/run.go
@@ -201,6 +201,10 @@
 		return fleet.RefusedExpired
 	}
 	w.extendLease(now, o.LeaseEnd)
+	if w.refusal != 0 {
+		w.refusedStarts++
+		return w.refusal
+	}
 	if o.Attempt <= w.fencedAttempts[o.Task] {
 		return fleet.RefusedEnded
 	}
