Give up attempts whose start has expired and whose stop is not answered

An attempt whose start order got no answer is ordered to stop, and was given up only once the worker had accepted that order or listed its end. A worker that answers renewals but no other order (its requests hang while its health is good) does neither, so the task was counted as running there without end: its job was shown as running and started nowhere.

TestUnansweredStopEnds failed before (running after 16 s, without end by the code). It also checks that the task starts nowhere else within 12 s.

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -240,6 +240,7 @@
 
 // addUnansweredStart records that a start order may still be carried out.
 func (w *workerState) addUnansweredStart(now Instant, a *attempt) {
+	a.startExpiresAt = now + maxOrderDelay
 	w.unansweredStarts[a.ref] = &unansweredStart{number: a.number, expiresAt: now + maxOrderDelay}
 }
 
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -183,13 +183,24 @@
 		if n, ok := listed[ref]; ok && n == a.number {
 			continue
 		}
-		confirmed := a.phase == running || a.phase == stopped
-		if confirmed && a.confirmedAt < sent {
+		if a.mustBeListed(sent) {
 			s.loseAttempt(now, a, "not listed")
 		}
 	}
 }
 
+// mustBeListed reports whether lists requested at the time sent contain the attempt if it
+// runs or may still start. Stop orders may stay unanswered for as long as the worker is up.
+func (a *attempt) mustBeListed(sent Instant) bool {
+	switch a.phase {
+	case running, stopped:
+		return a.confirmedAt < sent
+	case stopping:
+		return a.startUncertain && a.startExpiresAt < sent
+	}
+	return false
+}
+
 // stopOverdueMargin is added to the stop grace period before a stop counts as overdue. It
 // covers a worker's clock that is 2% slow and a worker that is busy.
 const stopOverdueMargin = 200 * time.Millisecond
--- a/internal/scheduler/silence_test.go
+++ b/internal/scheduler/silence_test.go
@@ -43,3 +43,21 @@
 		})
 	}
 }
+
+// TestUnansweredStopEnds: a worker answered renewals, but neither a start order nor the order
+// to stop that attempt. The task was counted as running there without end.
+func TestUnansweredStopEnds(t *testing.T) {
+	h := newHarness(t, 2)
+	// Without the first job, the second one would go to w00.
+	h.submit(firstID, fixedLength(10), nil, batchStep(1))
+	h.run(time.Second)
+	h.cluster.SetMute("w01", true)
+	id := h.submit(secondID, nil, nil, batchStep(1))
+	h.run(12 * time.Second)
+	// An order may be carried out up to 12 s late, so the task must not start elsewhere.
+	must.Eq(t, 1, h.cluster.Starts())
+	h.run(4 * time.Second)
+	must.Eq(t, job.Done, h.state(id))
+	must.Eq(t, 2, h.cluster.Starts())
+	h.checkViolations()
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -98,6 +98,8 @@
 	// startUncertain is set once a start order got no answer: the worker may still
 	// carry it out.
 	startUncertain bool
+	// startExpiresAt is from when on an unanswered start order is not carried out any more.
+	startExpiresAt Instant
 	startedAt      Instant
 	progress       int
 	// progressedAt is when progress last increased.
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -160,6 +160,8 @@
 	refusal       fleet.Verdict
 	refusedStarts int
 	startCount    int
+	// mute is set while no order but renewals reaches the worker.
+	mute bool
 }
 
 // end is the end of an attempt at a time.
@@ -292,6 +294,13 @@
 	c.workers[id].failing, c.workers[id].stalled = failing, stalled
 }
 
+// SetMute sets whether a worker answers renewals only: other orders do not reach it.
+func (c *Cluster) SetMute(id platform.WorkerID, mute bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.workers[id].mute = mute
+}
+
 // RefuseStarts makes a worker refuse all start orders with a verdict, or none if it is zero.
 func (c *Cluster) RefuseStarts(id platform.WorkerID, v fleet.Verdict) {
 	c.mu.Lock()
--- a/internal/standin/cluster/run.go
+++ b/internal/standin/cluster/run.go
@@ -170,7 +170,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.workers[id]
-	if !w.reachable() {
+	if !w.reachable() || w.mute {
 		return fleet.Answer{}, false
 	}
 	c.advance(now, w)
@@ -245,7 +245,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.workers[id]
-	if !w.reachable() {
+	if !w.reachable() || w.mute {
 		return fleet.Answer{}, false
 	}
 	c.advance(now, w)
@@ -266,7 +266,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.workers[id]
-	if !w.reachable() {
+	if !w.reachable() || w.mute {
 		return fleet.Answer{}, false
 	}
 	if o.Token < w.fencingToken {
