Use workers that restart after a clock step

Runs of a worker are told apart by the time of day at which they started, and lists of a run that started earlier than the known one were dropped as late answers. A worker whose time of day was set back before it restarted was therefore without end taken for one that does not answer: it got no task, and the next owner was the first to use it.

The time at which an order was sent tells more: only the current run or a later one can answer an order that was sent after the current run was seen. Lists in answer to such an order are those of the current run, whatever their start time. The entry and late answers of the run before no longer count.

TestRunAfterClockStepIsUsed failed before (nothing ran 8 s after the restart). Without the check of the entry it fails with a third start.

--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -16,15 +16,15 @@
 	if !ok || lists.Verdict != fleet.Accepted {
 		return
 	}
-	if w.run != 0 && lists.Started != 0 && lists.Started < w.run {
-		// The lists are those of an earlier run.
+	if w.isEarlierRun(lists.Started, sent) {
 		return
 	}
 	if lists.Started != w.run && lists.Started != 0 {
 		if w.run != 0 {
 			s.handleRestart(now, w, lists.Started)
+		} else {
+			w.setRun(now, lists.Started)
 		}
-		w.run = lists.Started
 	}
 	w.clock.update(now, lists.Clock)
 	s.markReconciled(now, w)
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -261,3 +261,39 @@
 		h.shard.StopAnswered(h.now, stop, fleet.Answer{}, platform.ErrOutcomeUnknown)
 	}
 }
+
+// TestRunAfterClockStepIsUsed: a worker's time of day was set back before it restarted. Its
+// lists were taken for those of an earlier run, and it got no task any more. Its entry may
+// still be that of the run before.
+func TestRunAfterClockStepIsUsed(t *testing.T) {
+	for name, refreshEntry := range map[string]bool{"new entry": true, "old entry": false} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.run(time.Second)
+			id := h.submit(firstID, fixedLength(20), nil, batchStep(1))
+			h.run(time.Second)
+			must.Eq(t, 1, h.cluster.Running(id))
+			entry := h.cluster.Entry("w00")
+			h.cluster.StepBack("w00")
+			h.cluster.Crash("w00")
+			h.run(time.Second)
+			h.cluster.Boot(h.now, "w00")
+			if refreshEntry {
+				entry = h.cluster.Entry("w00")
+			}
+			h.run(8 * time.Second)
+			must.Eq(t, 1, h.cluster.Running(id))
+			h.cluster.AddWorker(h.now, workerInfo(1))
+			for range 8 {
+				h.shard.SetWorker(h.now, entry)
+				h.plan()
+				h.run(time.Second)
+				h.shard.SetWorker(h.now, h.cluster.Entry("w01"))
+			}
+			h.run(20 * time.Second)
+			must.Eq(t, job.Done, h.state(id))
+			must.Eq(t, 2, h.cluster.Starts())
+			h.checkViolations()
+		})
+	}
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -32,8 +32,9 @@
 	// machine.
 	cordoned bool
 	// run identifies the worker's current run (its start time); zero until its lists
-	// were read.
-	run int64
+	// were read. runSeenAt is when it was first seen, and runBefore is the run before.
+	run, runBefore int64
+	runSeenAt      Instant
 	// reconciled is set once the worker's lists were read under this owner's token.
 	reconciled bool
 	// listsReceived is when the latest lists arrived, listsRequested when they were
@@ -165,7 +166,7 @@
 	w.registered = true
 	w.updateDrainEnd(now, info)
 	s.updateColocation(now, w)
-	if w.run != 0 && info.Started > w.run {
+	if w.run != 0 && info.Started > w.run && info.Started != w.runBefore {
 		s.handleRestart(now, w, info.Started)
 	}
 }
@@ -216,7 +217,7 @@
 			s.loseAttempt(now, a, "worker restarted")
 		}
 	}
-	w.run = run
+	w.setRun(now, run)
 	for ref, start := range w.unansweredStarts {
 		if now < start.expiresAt {
 			// A stop order in flight may be meant for the previous run.
@@ -232,6 +233,22 @@
 	w.health = health{}
 }
 
+// setRun sets the worker's current run.
+func (w *workerState) setRun(now Instant, run int64) {
+	w.run, w.runBefore, w.runSeenAt = run, w.run, now
+}
+
+// isEarlierRun reports whether the answer to an order sent at the time sent is that of a run
+// before the current one. The start time alone does not tell: the worker's time of day may
+// have been set back before it restarted. Only the current run or a later one answers
+// orders that were sent after the current one was seen.
+func (w *workerState) isEarlierRun(run int64, sent Instant) bool {
+	if run == 0 || w.run == 0 || sent > w.runSeenAt {
+		return false
+	}
+	return run < w.run || run == w.runBefore
+}
+
 // trackAttempt adds an attempt to its worker and its task and reserves its resources.
 func (s *Shard) trackAttempt(now Instant, a *attempt) {
 	w := a.worker
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -272,6 +272,15 @@
 	}
 }
 
+// StepBack sets a worker's time of day back: its next run names an earlier start than the
+// present one.
+func (c *Cluster) StepBack(id platform.WorkerID) {
+	const runs = 10
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.workers[id].bootCount -= runs
+}
+
 // SetPartitioned sets whether a worker is partitioned: orders do not reach it.
 func (c *Cluster) SetPartitioned(id platform.WorkerID, partitioned bool) {
 	c.mu.Lock()
