Set workers aside that no start order reaches

A worker that answers renewals on an open connection while it refuses new ones was chosen again at once for each start, like one that refuses each start. An order that did not reach its worker counts as a refusal now; one that the owner withheld does not. The test failed before: queued after 4 s beside two free workers.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -413,7 +413,7 @@
 	mayAct := d.MayAct()
 	d.timer("starts.queued").Update(sent - o.addedAt)
 	a = current
-	answer, err := fleet.Answer{}, ErrFenced
+	answer, err := fleet.Answer{}, scheduler.ErrWithheld
 	if mayAct {
 		answer, err = d.Workers.Start(d.ctx, a.Worker, a.Order)
 	}
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -48,6 +49,8 @@
 	// readingPaused suspends the reading of the log.
 	readingPaused  bool
 	throttleOrders []scheduler.ThrottleAction
+	// refusesConnections is a worker that no start order reaches, or empty.
+	refusesConnections platform.WorkerID
 	// maxStarts is the number of start orders per plan.
 	maxStarts int
 	// workers is the number of workers at the start.
@@ -185,6 +188,10 @@
 			if !wanted {
 				continue
 			}
+			if start.Worker.ID == h.refusesConnections {
+				h.shard.StartAnswered(h.now, start, fleet.Answer{}, errNotSent)
+				continue
+			}
 			answer, answered := h.cluster.Start(h.now, start.Worker.ID, start.Order)
 			h.shard.StartAnswered(h.now, start, answer, orderError(answered))
 		}
@@ -200,6 +207,8 @@
 	}
 }
 
+var errNotSent = errors.New("connection refused")
+
 func orderError(answered bool) error {
 	if answered {
 		return nil
--- a/internal/scheduler/health_test.go
+++ b/internal/scheduler/health_test.go
@@ -104,3 +104,15 @@
 		})
 	}
 }
+
+// TestWorkerThatNoStartReachesKeepsNoTaskWaiting: a worker answered renewals on an open
+// connection and refused new ones. It was chosen again at once for each start.
+func TestWorkerThatNoStartReachesKeepsNoTaskWaiting(t *testing.T) {
+	h := newHarness(t, 3)
+	h.refusesConnections = "w00"
+	h.run(time.Second)
+	id := h.submit(firstID, nil, nil, batchStep(1))
+	h.run(4 * time.Second)
+	must.Eq(t, job.Done, h.state(id))
+	h.checkViolations()
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -45,6 +45,9 @@
 	return action, true
 }
 
+// ErrWithheld is the error of an order that was not sent because the owner may not act.
+var ErrWithheld = errors.New("order withheld: the host is not sure to own the shard")
+
 // StartAnswered handles the answer to a start order. err is nil if the worker answered.
 func (s *Shard) StartAnswered(now Instant, action StartAction, answer fleet.Answer, err error) {
 	a := s.findAttempt(action.Worker, action.Order)
@@ -54,7 +57,10 @@
 	switch {
 	case errors.Is(err, platform.ErrOutcomeUnknown):
 		s.handleUnansweredStart(now, a)
+	case errors.Is(err, ErrWithheld):
+		s.handleRefusedStart(now, a)
 	case err != nil:
+		s.noteRefusedStart(now, a, false)
 		s.handleRefusedStart(now, a)
 	case answer.Verdict == fleet.Accepted:
 		a.worker.updateClock(now, action.Run, answer.Clock)
@@ -76,13 +82,19 @@
 		if answer.Verdict == fleet.RefusedTicket {
 			a.task.step.discardTicket(a.worker)
 		}
-		if a.worker.health.recordRefusal(now, a.orderedAt, answer.Verdict == fleet.RefusedUnhealthy) {
-			s.noteSetAside(now, a.worker, "refuses tasks")
-		}
+		s.noteRefusedStart(now, a, answer.Verdict == fleet.RefusedUnhealthy)
 		s.handleRefusedStart(now, a)
 	}
 }
 
+// noteRefusedStart records that a worker has refused a start order or that the order did
+// not reach it.
+func (s *Shard) noteRefusedStart(now Instant, a *attempt, unhealthy bool) {
+	if a.worker.health.recordRefusal(now, a.orderedAt, unhealthy) {
+		s.noteSetAside(now, a.worker, "refuses tasks")
+	}
+}
+
 // findAttempt returns the tracked attempt that a start order belongs to, or nil.
 func (s *Shard) findAttempt(w fleet.Worker, o fleet.StartOrder) *attempt {
 	worker, ok := s.workers[w.ID]
