Record the progress of a job again that ended before the store refused it

A task may end after its job's end is in the log: it was done within the grace period of the stop order. The job is forgotten then, with a change that is yet to be recorded. If the store refused that append, the change was dropped, because the shard no longer had the job, but its number stayed the last one. With nothing to record the number never counted as recorded, so the worker's ends were not acknowledged, and it answered each renewal at once with all of them, until another job changed.

The change keeps its job, so it is recorded with the next append. TestRefusedRecordOfForgottenJobIsRepeated failed before: no change was left while the worker's end was unacknowledged.

--- a/internal/scheduler/journal.go
+++ b/internal/scheduler/journal.go
@@ -42,6 +42,8 @@
 type Change struct {
 	ID       job.ID
 	Progress job.Progress
+	// job is the job, which the shard may have forgotten since.
+	job *jobState
 }
 
 // Unrecorded holds the changes that are not in the log yet.
@@ -70,7 +72,7 @@
 			j.progress.EndedMS = nowMS
 		}
 		j.progress.Revision++
-		u.Changes = append(u.Changes, Change{ID: id, Progress: cloneProgress(j.progress)})
+		u.Changes = append(u.Changes, Change{ID: id, Progress: cloneProgress(j.progress), job: j})
 	}
 	for _, w := range s.journal.enrolled {
 		u.Enrolled = append(u.Enrolled, job.Enrollment{
@@ -118,9 +120,7 @@
 // log.
 func (s *Shard) ReturnUnrecorded(u Unrecorded) {
 	for _, c := range u.Changes {
-		if j, ok := s.jobs[c.ID]; ok {
-			s.journal.markDirty(j)
-		}
+		s.journal.markDirty(c.job)
 	}
 	for _, e := range u.Enrolled {
 		if w, ok := s.workers[e.Worker]; ok {
--- a/internal/scheduler/shard_test.go
+++ b/internal/scheduler/shard_test.go
@@ -302,3 +302,25 @@
 	must.Eq(t, job.Failed, h.state(id))
 	must.Eq(t, 3, h.cluster.Starts())
 }
+
+// TestRefusedRecordOfForgottenJobIsRepeated: a task was done shortly after its job had been
+// cancelled, and the store refused the record. It was dropped, since the job had ended, and
+// the worker's ends were not acknowledged until another job changed.
+func TestRefusedRecordOfForgottenJobIsRepeated(t *testing.T) {
+	h := newHarness(t, 1)
+	h.run(time.Second)
+	id := h.submit(firstID, nil, nil, batchStep(1))
+	h.run(850 * time.Millisecond)
+	h.shard.CancelJob(h.now, id)
+	h.tick()
+	must.Eq(t, job.Cancelled, h.state(id))
+	h.recordingPaused = true
+	h.run(500 * time.Millisecond)
+	must.Zero(t, h.cluster.Running(id))
+	must.True(t, h.shard.Unacknowledged("w00"))
+	h.shard.ReturnUnrecorded(h.shard.TakeUnrecorded(h.now.Milliseconds()))
+	u := h.shard.TakeUnrecorded(h.now.Milliseconds())
+	must.Len(t, 1, u.Changes)
+	h.shard.MarkRecorded(u)
+	must.False(t, h.shard.Unacknowledged("w00"))
+}
