Give the shard up when the owner is cut off from its workers

The owner reached the store and kept the shard while nearly none of its workers answered it; other hosts reached them. All work stopped for as long as the cut lasted, since the group of the store only knows that a host joins.

A worker that answers nobody loses its entry in the store, which it renews itself. An owner that for 10 s has had lists from fewer than an eighth of the registered workers, none of them younger than a lease, therefore gives the shard up as it does if it cannot act. A host that has stepped aside offers itself to a standby owner only after a minute, or the shard would come back to it while the cut lasts.

TestPartOfWorkersKeepsOwner bounds the cost: an owner that reaches 2 of 10 workers stays, and with none reachable for any host for a minute there are at most 6 claims.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -322,9 +322,28 @@
 	return age < scheduler.AuthorityBound && d.shard.HasQuorum(d.Clock())
 }
 
-// Serving reports whether the host may send orders as the shard's owner and can have
-// started tasks, which needs its ownership record in the log.
-func (d *Dispatcher) Serving() bool { return d.claimed.Load() && d.MayAct() }
+// Reasons for which an owner does not serve its shard.
+var (
+	errNotClaimed   = errors.New("the ownership is not recorded")
+	errNotConfirmed = errors.New("the ownership is not confirmed")
+	errIsolated     = errors.New("nearly no worker answers")
+)
+
+// Unable returns why the host cannot start tasks as the shard's owner, or nil if it can.
+func (d *Dispatcher) Unable() error {
+	switch {
+	case !d.claimed.Load():
+		return errNotClaimed
+	case !d.MayAct():
+		return errNotConfirmed
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.shard.Isolated(d.Clock()) {
+		return errIsolated
+	}
+	return nil
+}
 
 // planLoop makes a plan periodically and whenever one is requested, but leaves a pause
 // after each plan.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -133,6 +133,9 @@
 	steppingAside bool
 	ownedEpoch    platform.Epoch
 	stepAside     chan error
+	// steppedAsideAt is when the host last had to leave the group, in nanoseconds of Clock,
+	// or zero.
+	steppedAsideAt atomic.Int64
 	// handBackAt is the time of the last attempt to hand the shard to a preferred host,
 	// used by runStandby only.
 	handBackAt time.Duration
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -70,15 +70,15 @@
 }
 
 var (
-	errNotLoaded  = errors.New("the jobs are not loaded")
-	errNotServing = errors.New("the owner cannot confirm or record its ownership")
-	errEpochUsed  = errors.New("the host has owned the shard under this epoch")
+	errNotLoaded = errors.New("the jobs are not loaded")
+	errEpochUsed = errors.New("the host has owned the shard under this epoch")
 )
 
 // checkServing gives the shard up once the dispatcher d has been unable to serve it for
 // maxNotServing, although the store answers the host's joins.
 func (n *Node) checkServing(d *dispatch.Dispatcher) {
-	if d.Serving() || n.leaving.Load() {
+	reason := d.Unable()
+	if reason == nil || n.leaving.Load() {
 		n.unserved.end()
 		return
 	}
@@ -87,9 +87,9 @@
 		return
 	}
 	n.unserved.end()
-	d.Relinquish(errNotServing)
+	d.Relinquish(reason)
 	n.dropShard(d)
-	n.requestStepAside(lasted, errNotServing)
+	n.requestStepAside(lasted, reason)
 }
 
 // claim takes over the shard. After an error the store may assign it to another host.
--- a/internal/process/node/standby.go
+++ b/internal/process/node/standby.go
@@ -56,6 +56,9 @@
 	offerInterval = time.Second
 	// maxOfferAge is how long such an offer holds.
 	maxOfferAge = 2 * offerInterval
+	// offerPause is how long a host that has stepped aside offers nothing: a standby owner
+	// may serve the shard where it could not.
+	offerPause = time.Minute
 	// handBackInterval is the least time between two attempts of a standby owner to
 	// hand the shard to a preferred host.
 	handBackInterval = 10 * time.Second
@@ -410,7 +413,7 @@
 	for pause.For(n.ctx, offerInterval) == nil {
 		owner := n.table.Owner()
 		addr, err := netip.ParseAddrPort(owner.Addr)
-		if err != nil || !owner.Standby || owner.Released || n.OwnsShard() || !n.Ready() || n.member.ConfirmationAge() > ownerJoinMaxAge || n.SinceCaughtUp() > maxReadAge {
+		if err != nil || !owner.Standby || owner.Released || n.OwnsShard() || !n.Ready() || n.steppedAside() || n.member.ConfirmationAge() > ownerJoinMaxAge || n.SinceCaughtUp() > maxReadAge {
 			failing = false
 			continue
 		}
--- a/internal/process/node/stepaside.go
+++ b/internal/process/node/stepaside.go
@@ -56,12 +56,19 @@
 	event.SteppedAside.Log(n.Logger, logrus.Fields{"unserved_ms": unserved.Milliseconds(), "error": err})
 	n.count("shard.stepped_aside")
 	n.steppingAside = true
+	n.steppedAsideAt.Store(int64(n.Clock()))
 	select {
 	case n.stepAside <- err:
 	default:
 	}
 }
 
+// steppedAside reports whether the host has stepped aside within offerPause.
+func (n *Node) steppedAside() bool {
+	at := n.steppedAsideAt.Load()
+	return at != 0 && n.Clock()-time.Duration(at) < offerPause
+}
+
 // takeStepAside returns why the host has to leave the group for a while, if it has to.
 func (n *Node) takeStepAside() (reason error, asked bool) {
 	select {
--- a/internal/process/node/write_test.go
+++ b/internal/process/node/write_test.go
@@ -60,6 +60,8 @@
 	// one that discards its lines.
 	declarations queue.Source
 	logger       *logrus.Logger
+	// workers, if set, returns the workers as the named host reaches them.
+	workers func(host string) *testWorkers
 }
 
 func newTestCluster() *testCluster {
@@ -90,12 +92,18 @@
 	if c.wrap != nil {
 		s = c.wrap(s)
 	}
+	registry := func() fleet.Registry { return noWorkers{} }
+	var workers fleet.Workers
+	if c.workers != nil {
+		w := c.workers(name)
+		registry, workers = func() fleet.Registry { return w }, w
+	}
 	ip := netip.AddrFrom4([4]byte{127, 0, 1, last})
 	n, err := Start(Config{
 		Host: platform.HostID(name), Peer: netip.AddrPortFrom(ip, 7720), Network: c.network.Host(ip), LinkMbps: linkMbps,
 		Logger: logger, Metrics: metrics.NewRegistry(), Clock: func() time.Duration { return time.Since(c.started) },
 		Retention: time.Minute, AppendBytes: memstore.MaxAppendBytes,
-		Store: s, Registry: func() fleet.Registry { return noWorkers{} }, Declarations: declarations,
+		Store: s, Registry: registry, Workers: workers, Declarations: declarations,
 	})
 	must.NoError(t, err)
 	return n
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -174,3 +174,23 @@
 	}
 	return total > 0 && job.IsQuorum(answered, total)
 }
+
+// isolationFactor says which part of the workers an owner must reach, as its inverse.
+const isolationFactor = 8
+
+// Isolated reports whether the owner reaches fewer than one in isolationFactor of the workers
+// that have an entry in the platform's store. They keep their entries up themselves, so it is
+// probably the owner that is cut off. Leases on the others have expired.
+func (s *Shard) Isolated(now Instant) bool {
+	registered, answered := 0, 0
+	for _, w := range s.workers {
+		if !w.registered {
+			continue
+		}
+		registered++
+		if w.listsReceived != 0 && now-w.listsReceived < maxResidualLease {
+			answered++
+		}
+	}
+	return isolationFactor*answered < registered
+}
