Give a starved job one task ahead of the others

Callers saw a job wait for ever although workers had room: steps get workers by priority and timeliness, so overdue jobs and jobs of low priority stay last for as long as others arrive, and nothing counts how long they wait. It takes start orders that are scarce, or fillers that serving tasks leave too little headroom for; the platform counts only the room that is reserved.

A job of which nothing runs for 2 s, or a long-running task that waits for 2 s, now gets one task ahead of the others, at most with one of eight start orders. A job that is overdue keeps to one task at a time, so the others lose little.

--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -138,6 +138,7 @@
 	e := &job.Entry{ID: job.ID(id), Submission: s}
 	h.entries[e.ID] = e
 	h.cluster.Job(e.ID, s, length, fails)
+	h.cluster.Accepted(h.now, e.ID)
 	h.shard.AddJob(h.now, *e)
 	return e.ID
 }
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -28,6 +28,10 @@
 	// learned of the job immediately, it uses its own time of day, since the times of day
 	// of hosts may differ by seconds.
 	acceptedMS int64
+	// liveAttempts counts the attempts of the job's tasks that may be running; idleSince is
+	// since when there are none.
+	liveAttempts int
+	idleSince    Instant
 	// beforeTakeover is set for jobs that an earlier owner may have worked on.
 	beforeTakeover bool
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -80,7 +80,10 @@
 		s.issueThrottleOrders(now, w)
 	}
 	s.addDueOccurrences(now)
-	p := placement{shard: s, now: now, full: full || s.dirty.placeAll, startsLeft: maxStarts - len(s.pending.Starts)}
+	p := placement{
+		shard: s, now: now, full: full || s.dirty.placeAll, startsLeft: maxStarts - len(s.pending.Starts),
+		unplaceable: map[*stepRun]bool{},
+	}
 	p.place()
 	if full {
 		p.drainWorkers()
@@ -104,12 +107,15 @@
 	if p.full || !waiting.sorted {
 		waiting.sort(p.shard.nowMS)
 	}
+	p.placeStarved()
 	for i, r := range waiting.steps {
 		if p.startsLeft <= 0 {
 			p.leaveSteps(waiting.steps[i:])
 			return
 		}
-		p.placeStep(r)
+		if !p.unplaceable[r] {
+			p.placeStep(r)
+		}
 		if len(r.startable) > 0 {
 			p.noteWaiting(r)
 		}
@@ -174,6 +180,8 @@
 	// waiting task was not tried because none were left.
 	startsLeft int
 	cutShort   bool
+	// unplaceable are the starved steps for which this plan has found no worker.
+	unplaceable map[*stepRun]bool
 	// allKnown caches whether every attempt of earlier owners is known; nil until
 	// needed.
 	allKnown *bool
@@ -298,5 +306,6 @@
 // issueStart sends the start order of an assumed attempt.
 func (p *placement) issueStart(a *attempt) {
 	p.startsLeft--
+	p.shard.startsInOrder++
 	p.shard.pending.Starts = append(p.shard.pending.Starts, p.shard.startAction(a))
 }
--- a/internal/scheduler/priority.go
+++ b/internal/scheduler/priority.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "cmp"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // timeliness is what an occurrence of a job can still achieve.
 type timeliness uint8
@@ -51,3 +55,75 @@
 		cmp.Compare(slack(a), slack(b)),
 	)
 }
+
+// The order of compareSteps alone would keep overdue jobs and jobs of low priority waiting
+// for as long as others arrive, when start orders or the headroom of serving tasks are
+// scarce. A job with nothing running therefore gets one task ahead of the others.
+const (
+	// starvedAfter is how long nothing of a job may run, or a long-running task may wait,
+	// before one of its tasks goes ahead of the others. The platform's rules allow 3 s
+	// while there is room.
+	starvedAfter = 2 * time.Second
+	// startsPerStarved is the number of start orders of which one is for starved steps.
+	startsPerStarved = 8
+)
+
+// starvedSince returns since when a step with waiting tasks has been starved of workers,
+// and whether it is starved now.
+func (r *stepRun) starvedSince(now Instant) (Instant, bool) {
+	if len(r.startable) == 0 || r.job.liveAttempts > 0 && !r.spec.LongRunning {
+		return 0, false
+	}
+	since := r.startable[0].queuedAt
+	if !r.spec.LongRunning {
+		since = max(since, r.job.idleSince)
+	}
+	return since, now-since >= starvedAfter
+}
+
+// placeStarved starts one task of each starved step, of those that have waited longest
+// first, with a share of the start orders.
+func (p *placement) placeStarved() {
+	s := p.shard
+	s.startsInOrder = min(s.startsInOrder, startsPerStarved)
+	share := (s.startsInOrder + p.startsLeft) / startsPerStarved
+	if share == 0 {
+		return
+	}
+	var starved []starvedStep
+	for _, r := range s.waiting.steps {
+		if since, ok := r.starvedSince(p.now); ok {
+			starved = append(starved, starvedStep{r, since})
+		}
+	}
+	slices.SortStableFunc(starved, func(a, b starvedStep) int { return cmp.Compare(a.since, b.since) })
+	for _, r := range starved {
+		if share <= 0 || p.startsLeft <= 0 {
+			break
+		}
+		share -= p.placeOnce(r.step)
+	}
+}
+
+type starvedStep struct {
+	step  *stepRun
+	since Instant
+}
+
+// placeOnce tries a step with one start order and returns the number of orders that it
+// took: the members of a gang start together.
+func (p *placement) placeOnce(r *stepRun) int {
+	left := p.startsLeft
+	p.startsLeft = 1
+	p.placeStep(r)
+	issued := 1 - p.startsLeft
+	p.startsLeft = left - issued
+	// The steps that this leaves untried are tried in their order.
+	p.cutShort = false
+	if issued > 0 {
+		p.shard.startsInOrder = 0
+	} else {
+		p.unplaceable[r] = true
+	}
+	return issued
+}
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -64,6 +64,8 @@
 	sortedWorkers []*workerState
 	dirty         dirtySet
 	waiting       waitingSteps
+	// startsInOrder counts the start orders issued since the last one of a starved step.
+	startsInOrder int
 	startRates    map[capacityClass]*startRate
 	// batchReserved is the CPU that batch tasks have reserved, in thousandths of a
 	// core.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -263,6 +263,7 @@
 	}
 	if a.task != nil {
 		a.task.liveAttempts = append(a.task.liveAttempts, a)
+		a.task.step.job.liveAttempts++
 		a.task.lastAttempt = max(a.task.lastAttempt, a.number)
 	}
 	s.updateColocation(now, w)
@@ -294,6 +295,11 @@
 	s.updateColocation(now, w)
 	if t := a.task; t != nil {
 		t.liveAttempts = slices.DeleteFunc(t.liveAttempts, func(other *attempt) bool { return other == a })
+		if j := t.step.job; j.liveAttempts > 0 {
+			if j.liveAttempts--; j.liveAttempts == 0 {
+				j.idleSince = now
+			}
+		}
 	}
 	return true
 }
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -114,6 +114,9 @@
 	duration    func(job.TaskRef) time.Duration
 	fails       func(job.TaskRef, platform.Attempt) bool
 	maxFailures int
+	// acceptedAt is when the caller got the acknowledgement of the job, if accepted is set.
+	accepted    bool
+	acceptedAt  time.Duration
 	cancelledAt time.Duration
 	// ranOn is the longest time for which a task has run on after cancelledAt.
 	ranOn time.Duration
