Take appends that the store rejects as not written

A record that the store does not accept, because it is larger than its limit, was answered with 400 or 413. The owner took that for an unknown outcome and repeated the append without end: it recorded nothing any more, callers' writes through it ran into their time limit, and it kept the shard, since its reads and joins were answered. A caller could bring that about with one submission, on each next owner again; records are limited to 256 KB, bodies to 64 MB.

store.ErrRejected says that a call is never accepted as it is and had no effect. The callers of the batch are told that nothing was written, and the owner goes on.

A progress record that is itself too large would still be refused again and again; it takes a job of some 2 million tasks.

--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -148,6 +148,10 @@
 // ErrUnavailable.
 var ErrFull = fmt.Errorf("%w: full", ErrUnavailable)
 
+// ErrRejected reports that the store never accepts the call as it is, mostly because a
+// record is too large. It matches ErrUnavailable.
+var ErrRejected = fmt.Errorf("%w: rejected", ErrUnavailable)
+
 // FencedError reports that a writer with a higher epoch has taken over.
 type FencedError struct {
 	Partition Partition
--- a/internal/process/dispatch/record.go
+++ b/internal/process/dispatch/record.go
@@ -284,7 +284,8 @@
 			return errors.Join(ErrFenced, err)
 		case errors.As(err, &sequence):
 			return err
-		case errors.Is(err, store.ErrUnavailable) && !outcomeUnknown:
+		case errors.Is(err, store.ErrUnavailable) && !outcomeUnknown, errors.Is(err, store.ErrRejected):
+			// An earlier try without an answer was rejected as well.
 			return err
 		}
 		outcomeUnknown = true
--- a/internal/standin/memstore/memstore.go
+++ b/internal/standin/memstore/memstore.go
@@ -171,7 +171,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if n := store.Size(records); n > MaxAppendBytes {
-		return 0, fmt.Errorf("append of %d bytes exceeds the limit of %d bytes", n, MaxAppendBytes)
+		return 0, fmt.Errorf("%w: append of %d bytes, at most %d are allowed", store.ErrRejected, n, MaxAppendBytes)
 	}
 	l := s.log(p)
 	if w == nil {
