Repeat throttle orders that a worker refuses

A worker's refusal of a throttle order (429 or 503 for its health, 421, 400) counted as if the limit were applied, and the order was not repeated: fillers ran on at full speed beside a serving task over its target. An order that could not be sent at all was repeated with each plan, every few milliseconds.

TestRefusedThrottleIsRepeated failed before (4 fillers active 4.5 s after the halt, without end by the code).

--- a/internal/scheduler/interference_test.go
+++ b/internal/scheduler/interference_test.go
@@ -171,6 +171,40 @@
 	h.checkViolations()
 }
 
+// TestRefusedThrottleIsRepeated: a worker refused the orders to halt fillers. They counted as
+// carried out, and the fillers ran on beside a serving task that was over its target.
+func TestRefusedThrottleIsRepeated(t *testing.T) {
+	for _, v := range []fleet.Verdict{fleet.RefusedUnhealthy, fleet.RefusedOtherRun, fleet.RefusedInvalid} {
+		t.Run(v.String(), func(t *testing.T) {
+			h := newHarness(t, 1)
+			degradedFrom := h.now + 10*time.Second
+			h.cluster.SetInterference(func(*job.Step, []cluster.Filler) float64 {
+				if h.now > degradedFrom {
+					return 1.01 * targetMS
+				}
+				return 20
+			})
+			h.submit(firstID, nil, nil, servingStep(3, "web"))
+			h.submit("00000000000000a2", fixedLength(0.7), nil, fillerStep(30, "quiet"))
+			h.run(8 * time.Second)
+			step := fillerStep(4, "quiet")
+			step.Checkpointing = false
+			h.submit("00000000000000a3", fixedLength(60), nil, step)
+			h.run(2 * time.Second)
+			active := countActiveFillers(h.cluster, "w00")
+			must.Positive(t, active)
+			h.cluster.RefuseThrottles("w00", v)
+			h.throttleOrders = nil
+			h.run(4 * time.Second)
+			must.Between(t, 2*active, len(h.throttleOrders), 25*active)
+			h.cluster.RefuseThrottles("w00", 0)
+			h.run(500 * time.Millisecond)
+			must.Zero(t, countActiveFillers(h.cluster, "w00"))
+			h.checkViolations()
+		})
+	}
+}
+
 // TestServingTasksAreGroupedByImage: whether images interfere depends on the pair, so
 // each worker should get serving tasks of one image.
 func TestServingTasksAreGroupedByImage(t *testing.T) {
--- a/internal/scheduler/throttle.go
+++ b/internal/scheduler/throttle.go
@@ -220,7 +220,8 @@
 func (s *Shard) issueThrottleOrders(now Instant, w *workerState) {
 	for _, a := range w.colocation.fillers {
 		upToDate := a.appliedPercent == a.cpuPercent && (now >= a.throttleUncertainUntil || now < a.throttleRepeatAt)
-		if a.phase != running || a.throttlePending || upToDate {
+		refusedLately := a.appliedPercent == unknownPercent && now < a.throttleRetryAt
+		if a.phase != running || a.throttlePending || upToDate || refusedLately {
 			continue
 		}
 		a.throttlePending = true
@@ -244,11 +245,11 @@
 	s.dirty.add(w)
 	a.throttlePending = false
 	a.appliedPercent = action.Order.Percent
-	if err != nil {
+	if err != nil || answer.Verdict != fleet.Accepted {
 		a.appliedPercent = unknownPercent
 	}
 	if errors.Is(err, platform.ErrOutcomeUnknown) {
 		a.throttleUncertainUntil = now + maxOrderDelay
 	}
-	a.throttleRepeatAt = now + throttleRepeatInterval
+	a.throttleRepeatAt, a.throttleRetryAt = now+throttleRepeatInterval, now+minThrottleInterval
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -115,10 +115,11 @@
 	// and appliedPercent that of the last answered throttle order, or unknownPercent.
 	// throttlePending is set while an order is in flight. Until throttleUncertainUntil
 	// an earlier order may be carried out late, so the order is repeated at
-	// throttleRepeatAt.
+	// throttleRepeatAt. One that was refused or not answered is repeated at throttleRetryAt.
 	cpuPercent, appliedPercent               int
 	throttlePending                          bool
 	throttleUncertainUntil, throttleRepeatAt Instant
+	throttleRetryAt                          Instant
 	// wasThrottled is set once cpuPercent was below 100, adopted if an earlier owner
 	// started the attempt.
 	wasThrottled, adopted bool
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -163,6 +163,8 @@
 	refusal       fleet.Verdict
 	refusedStarts int
 	startCount    int
+	// throttleRefusal is the verdict on every throttle order, or zero.
+	throttleRefusal fleet.Verdict
 	// mute is set while no order but renewals reaches the worker.
 	mute bool
 }
@@ -320,6 +322,14 @@
 	c.workers[id].refusal = v
 }
 
+// RefuseThrottles makes a worker refuse all throttle orders with a verdict, or none if it is
+// zero.
+func (c *Cluster) RefuseThrottles(id platform.WorkerID, v fleet.Verdict) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.workers[id].throttleRefusal = v
+}
+
 // RefusedStartsOn returns the number of start orders that RefuseStarts has refused.
 func (c *Cluster) RefusedStartsOn(id platform.WorkerID) int {
 	c.mu.Lock()
--- a/internal/standin/cluster/run.go
+++ b/internal/standin/cluster/run.go
@@ -273,6 +273,9 @@
 		return fleet.Answer{Verdict: fleet.RefusedFenced, Clock: w.clock(now)}, w.replyArrives()
 	}
 	w.fencingToken = o.Token
+	if w.throttleRefusal != 0 {
+		return fleet.Answer{Verdict: w.throttleRefusal}, w.replyArrives()
+	}
 	if a := w.running[o.Task]; a != nil && a.number == o.Attempt {
 		a.cpuPercent = o.Percent
 	}
