Log for how long nothing of a waiting job has run

The line "step waits" (7113) told the wait of a step's first task, but not whether other tasks of the job run meanwhile, so it could not tell a wide job that progresses from one that stands still. It has idle_ms now.

--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -68,7 +68,7 @@
 		d.counter("steps.held").Inc(1)
 		event.StepWaiting.Log(d.Logger, logrus.Fields{
 			"job": note.Job, "occurrence": note.Occurrence, "step": note.Step, "waiting": note.Waiting, "waited_ms": note.Waited.Milliseconds(),
-			"no_room": note.NoRoom, "harmful": note.Harmful, "unfit": note.Unfit, "unheard": note.Unreconciled,
+			"idle_ms": note.Idle.Milliseconds(), "no_room": note.NoRoom, "harmful": note.Harmful, "unfit": note.Unfit, "unheard": note.Unreconciled,
 		})
 	}
 }
--- a/internal/scheduler/notes.go
+++ b/internal/scheduler/notes.go
@@ -91,6 +91,8 @@
 	Step       int
 	Waiting    int
 	Waited     time.Duration
+	// Idle is the time for which nothing of the job has run, or zero.
+	Idle time.Duration
 	// NoRoom, Harmful and Unfit count the workers by the first reason for which they
 	// cannot run a task of the step.
 	NoRoom, Harmful, Unfit int
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -148,6 +148,9 @@
 	note := WaitingNote{
 		Job: r.job.id, Occurrence: r.occurrence, Step: r.stepIndex, Waiting: len(r.startable), Waited: p.now - t.queuedAt,
 	}
+	if r.job.liveAttempts == 0 {
+		note.Idle = p.now - max(t.queuedAt, r.job.idleSince)
+	}
 	if !p.safeToStart(t) {
 		note.Unreconciled = p.shard.countWithUnknownAttempts(p.now)
 	}
