--- a/internal/experiment/day/callers.go
+++ b/internal/experiment/day/callers.go
@@ -153,6 +153,7 @@
 		switch {
 		case err == nil:
 			c.accepted = true
+			c.sim.cluster.Accepted(c.sim.now(), c.id)
 			return true
 		case node.OutcomeUnknown(err):
 			c.outcomeUnknown = true
--- a/internal/experiment/day/day.go
+++ b/internal/experiment/day/day.go
@@ -49,6 +49,9 @@
 	Tasks                                                     int
 	// Violations describes the violated guarantees.
 	Violations []string
+	// Waiting describes the tasks that waited although they could run, and the hosts that
+	// counted too few pending jobs.
+	Waiting []string
 	// RanOn is the longest time for which a task ran on after the cancellation of its job
 	// was acknowledged.
 	RanOn time.Duration
@@ -100,6 +103,8 @@
 	background.Go(func() { sim.changeDeclarations(declaring, rand.New(rand.NewPCG(p.Seed, declarationsStream))) })
 	var staleDeclarations []string
 	background.Go(func() { staleDeclarations = sim.checkDeclarations(declaring) })
+	var waiting []string
+	background.Go(func() { waiting = sim.checkWaiting(declaring) })
 	callers := sim.runCallers(ctx, p, random)
 	injections.Wait()
 	for sim.cluster.OpenWaves() > 0 && ctx.Err() == nil {
@@ -112,6 +117,7 @@
 	}
 	r := summarize(sim, callers)
 	r.Violations = append(r.Violations, staleDeclarations...)
+	r.Waiting = waiting
 	r.Faults = faults
 	for _, f := range faults {
 		at := startupTime + time.Duration(f.AtMS)*time.Millisecond
@@ -182,7 +188,7 @@
 		{"jobs", r.Jobs}, {"accepted", r.Accepted}, {"done", r.Done}, {"failed", r.Failed}, {"cancelled", r.Cancelled},
 		{"refused at least once", r.Refused}, {"left open at least once", r.Unknown}, {"tasks started", r.Tasks},
 		{"time until over, half", r.Half.Round(time.Millisecond)}, {"time until over, 19 of 20", r.Most.Round(time.Millisecond)},
-		{"longest run after a cancellation", r.RanOn.Round(time.Millisecond)}, {"faults", len(r.Faults)}, {"broken promises", len(r.Violations)},
+		{"longest run after a cancellation", r.RanOn.Round(time.Millisecond)}, {"faults", len(r.Faults)}, {"broken promises", len(r.Violations)}, {"waited although there was room", len(r.Waiting)},
 	}
 	for _, row := range rows {
 		fmt.Fprintf(t, "%s\t%v\n", row.name, row.value)
--- a/internal/experiment/day/day_test.go
+++ b/internal/experiment/day/day_test.go
@@ -27,8 +27,25 @@
 	return l
 }
 
-// runDay runs a day in virtual time and fails the test on any violation.
+// runDay runs a day in virtual time and fails the test on any violation, and on any task
+// that waits unless start orders are limited by the link.
 func runDay(t *testing.T, p Plan) Report {
+	t.Helper()
+	r := playDay(t, p)
+	for i, v := range r.Violations {
+		if i < 5 {
+			t.Log(v)
+		}
+	}
+	must.SliceEmpty(t, r.Violations, must.Sprintf("seed %d, faults %+v", p.Seed, r.Faults))
+	if p.LinkKBPerSecond == 0 {
+		must.SliceEmpty(t, r.Waiting, must.Sprintf("seed %d, faults %+v", p.Seed, r.Faults))
+	}
+	return r
+}
+
+// playDay runs a day in virtual time.
+func playDay(t *testing.T, p Plan) Report {
 	t.Helper()
 	var r Report
 	synctest.Test(t, func(t *testing.T) {
@@ -38,12 +55,6 @@
 		// Calls in flight must end before the bubble does.
 		time.Sleep(time.Minute)
 	})
-	for i, v := range r.Violations {
-		if i < 5 {
-			t.Log(v)
-		}
-	}
-	must.SliceEmpty(t, r.Violations, must.Sprintf("seed %d, faults %+v", p.Seed, r.Faults))
 	return r
 }
 
--- a/internal/experiment/day/faults.go
+++ b/internal/experiment/day/faults.go
@@ -120,6 +120,8 @@
 	hosts := sim.targetHosts(f.Host)
 	duration := time.Duration(f.ForMS) * time.Millisecond
 	sim.logger.WithField("fault", fmt.Sprintf("%+v", f)).Info("injecting fault")
+	sim.disturbance.begin()
+	defer func() { sim.disturbance.end(sim.now()) }()
 	switch f.Kind {
 	case KillHost, StopHost, KillAll:
 		sim.restartHosts(f.Kind, hosts, duration)
--- a/internal/experiment/day/simulation.go
+++ b/internal/experiment/day/simulation.go
@@ -55,7 +55,8 @@
 	hosts     []*host
 	workers   []platform.WorkerID
 	// declared holds the versions of the declarations.
-	declared declared
+	declared    declared
+	disturbance disturbance
 	// narrowHosts is the number of hosts with a narrow link, the first ones.
 	narrowHosts int
 	// linkBytesPerSecond is the bandwidth of each host's link to the workers in each
