--- a/internal/scheduler/priority.go
+++ b/internal/scheduler/priority.go
@@ -65,7 +65,7 @@
 	// while there is room.
 	starvedAfter = 2 * time.Second
 	// startsPerStarved is the number of start orders of which one is for starved steps.
-	startsPerStarved = 8
+	startsPerStarved = 4
 )
 
 // starvedSince returns since when a step with waiting tasks has been starved of workers,
