Put starved batch jobs ahead only where most of the room is free

On a full service the jobs that can still be in time need the room more than overdue ones, which earn their callers nothing by one task a time; the rule that a job with nothing running has its turn holds where under half of the room is in use.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -82,7 +82,7 @@
 	s.addDueOccurrences(now)
 	p := placement{
 		shard: s, now: now, full: full || s.dirty.placeAll, startsLeft: maxStarts - len(s.pending.Starts),
-		unplaceable: map[*stepRun]bool{},
+		unplaceable: map[*stepRun]bool{}, freeServices: map[platform.ServiceName]bool{},
 	}
 	p.place()
 	if full {
@@ -185,6 +185,8 @@
 	cutShort   bool
 	// unplaceable are the starved steps for which this plan has found no worker.
 	unplaceable map[*stepRun]bool
+	// freeServices caches mostlyFree by service.
+	freeServices map[platform.ServiceName]bool
 	// allKnown caches whether every attempt of earlier owners is known; nil until
 	// needed.
 	allKnown *bool
--- a/internal/scheduler/priority.go
+++ b/internal/scheduler/priority.go
@@ -92,7 +92,7 @@
 	}
 	var starved []starvedStep
 	for _, r := range s.waiting.steps {
-		if since, ok := r.starvedSince(p.now); ok {
+		if since, ok := r.starvedSince(p.now); ok && (r.spec.LongRunning || p.mostlyFree(r)) {
 			starved = append(starved, starvedStep{r, since})
 		}
 	}
@@ -105,6 +105,24 @@
 	}
 }
 
+// mostlyFree reports whether under half of the CPU is reserved on the workers of a step's
+// service. Where it is not, the jobs that can still be in time need it more than those that
+// cannot.
+func (p *placement) mostlyFree(r *stepRun) bool {
+	service := p.service(r)
+	free, known := p.freeServices[service]
+	if !known {
+		var reserved, capacity int64
+		for _, w := range p.schedulableWorkers(service) {
+			reserved += w.reserved.MilliCPU
+			capacity += w.info.Capacity.MilliCPU
+		}
+		free = 2*reserved < capacity
+		p.freeServices[service] = free
+	}
+	return free
+}
+
 type starvedStep struct {
 	step  *stepRun
 	since Instant
