Simulated workers: tasks that crash the workers that start them

A job's tasks may crash each worker that starts them: the worker accepts the order, with the answer delivered or lost, crashes up to a settable time later, and boots with a new run. The cluster counts the crashes under each task, checks BUDGET (the third start after three crashes) and tells which jobs may be shown as failed: one of their tasks has failed too often, or two workers have crashed under it.

--- a/internal/standin/cluster/check.go
+++ b/internal/standin/cluster/check.go
@@ -42,6 +42,7 @@
 	if !step.LongRunning && t.maxFailures > 0 && t.failures[o.Task] >= t.maxFailures {
 		c.recordViolation(now, "BUDGET", "%s after %d failures", o.Task, t.failures[o.Task])
 	}
+	c.checkCrashBudget(now, t, w, o.Task)
 	if t.cancelledAt > 0 && now > t.cancelledAt+cancelGrace {
 		c.recordViolation(now, "UNASKED", "%s %v after its job was cancelled", o.Task, now-t.cancelledAt)
 	}
@@ -58,7 +59,7 @@
 	}
 	for _, other := range c.workers {
 		if other.up && other.running[o.Task] != nil {
-			c.advance(now, other)
+			c.settle(now, other)
 		}
 		if other.up && other.running[o.Task] != nil {
 			c.recordViolation(now, "TWICE", "%s on %s while it runs on %s", o.Task, w.info.ID, other.info.ID)
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -31,6 +31,9 @@
 	// tailLatency returns the tail latency of a serving task in milliseconds, given
 	// the fillers on its worker. Nil means that no latency is reported.
 	tailLatency func(victim *job.Step, fillers []Filler) float64
+	// runsLost counts the attempts that ran on workers when these crashed, crashesCaused
+	// the crashes that tasks caused.
+	runsLost, crashesCaused int
 }
 
 // Filler is a running task of a step with job.Step.Fills: it uses processor time
@@ -127,7 +130,14 @@
 	// acknowledged are the tasks whose successful end the scheduler has acknowledged.
 	acknowledged map[job.TaskRef]bool
 	failures     map[job.TaskRef]int
-	started      bool
+	// failedAttempts are the attempts that failed. The members of a gang fail together, so
+	// theirs are those of the first one.
+	failedAttempts map[job.TaskRef]map[platform.Attempt]bool
+	started        bool
+	// crashing is nil unless tasks of the job crash their workers.
+	crashing *Crashing
+	// crashes are the crashes of workers under each task.
+	crashes map[job.TaskRef]*taskCrashes
 }
 
 // worker is a simulated worker and the machine that it runs on.
@@ -140,6 +150,8 @@
 	machineToken platform.Epoch
 	info         fleet.Worker
 	bootedAt     time.Duration
+	// bootAt is when the worker boots again after a crash that an attempt caused, or zero.
+	bootAt       time.Duration
 	bootCount    int64
 	up           bool
 	partitioned  bool
@@ -184,6 +196,8 @@
 	checkpoint    string
 	cpuPercent    int
 	samples       []sample
+	// crashAt is when the attempt crashes its worker, or zero.
+	crashAt time.Duration
 	// gangStarted is set once all members of the attempt's gang were running.
 	gangStarted bool
 }
@@ -255,6 +269,7 @@
 	c.jobs[id] = &jobModel{
 		spec: s.Spec, duration: duration, fails: fails, maxFailures: s.MaxFailures,
 		done: map[job.TaskRef]bool{}, lastStart: map[job.TaskRef]time.Duration{}, lastAttempt: map[job.TaskRef]platform.Attempt{}, acknowledged: map[job.TaskRef]bool{}, failures: map[job.TaskRef]int{},
+		failedAttempts: map[job.TaskRef]map[platform.Attempt]bool{}, crashes: map[job.TaskRef]*taskCrashes{},
 	}
 }
 
@@ -262,9 +277,7 @@
 func (c *Cluster) Crash(id platform.WorkerID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := c.workers[id]
-	w.up = false
-	w.running = map[job.TaskRef]*attempt{}
+	c.crash(c.workers[id], nil)
 }
 
 // Boot restarts a crashed worker. It does nothing if the worker is up, is lost, or
--- /dev/null
+++ b/internal/standin/cluster/crashes_test.go
@@ -0,0 +1,122 @@
+package cluster_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/siskinvane/siskinvane/internal/platform"
+	"github.com/siskinvane/siskinvane/internal/platform/fleet"
+	"github.com/siskinvane/siskinvane/internal/scheduler/job"
+	"github.com/siskinvane/siskinvane/internal/standin/cluster"
+)
+
+const (
+	jobID   job.ID = "00000000000000a1"
+	downFor        = 2 * time.Second
+	after          = 100 * time.Millisecond
+	started        = time.Minute
+)
+
+// newCrashingCluster returns a cluster of workers w0 to w9 and a job of two tasks, of
+// which the first crashes its workers.
+func newCrashingCluster(answerLost bool) *cluster.Cluster {
+	c := cluster.New()
+	for i := range 10 {
+		c.AddWorker(started, fleet.Worker{ID: workerID(i), Capacity: platform.Resources{MilliCPU: 8000, MemoryMB: 8000}})
+	}
+	c.Job(jobID, &job.Submission{MaxFailures: 3, Spec: job.Spec{Steps: []job.Step{{Tasks: 2}}}}, nil, nil)
+	c.CrashWorkersOf(jobID, cluster.Crashing{
+		Tasks:      func(ref job.TaskRef) bool { return ref.Index == 0 },
+		After:      func(job.TaskRef, platform.Attempt) time.Duration { return after },
+		AnswerLost: func(job.TaskRef, platform.Attempt) bool { return answerLost },
+		DownFor:    downFor,
+	})
+	return c
+}
+
+func workerID(i int) platform.WorkerID { return platform.WorkerID(fmt.Sprintf("w%d", i)) }
+
+// startOn orders a worker to start an attempt of a task.
+func startOn(t *testing.T, c *cluster.Cluster, now time.Duration, worker, index, attempt int) bool {
+	t.Helper()
+	a, answered := c.Start(now, workerID(worker), fleet.StartOrder{
+		Task: job.TaskRef{Job: jobID, Index: index}, Attempt: platform.Attempt(attempt), LeaseEnd: platform.WorkerTime(time.Hour),
+	})
+	if answered {
+		must.Eq(t, fleet.Accepted, a.Verdict)
+	}
+	return answered
+}
+
+func renew(c *cluster.Cluster, now time.Duration, worker int) (fleet.RenewReply, bool) {
+	return c.Renew(now, workerID(worker), fleet.RenewOrder{})
+}
+
+// TestTaskCrashesItsWorker: the worker accepts the start order, is down from the crash
+// until it boots with a new run, and has lost all its attempts.
+func TestTaskCrashesItsWorker(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		c := newCrashingCluster(lost)
+		must.True(t, startOn(t, c, started, 0, 1, 1))
+		must.Eq(t, !lost, startOn(t, c, started, 0, 0, 1))
+		reply, answered := renew(c, started+after-1, 0)
+		must.True(t, answered)
+		must.SliceLen(t, 2, reply.Running)
+		_, answered = renew(c, started+after, 0)
+		must.False(t, answered)
+		_, answered = renew(c, started+after+downFor-1, 0)
+		must.False(t, answered)
+		again, answered := renew(c, started+after+downFor, 0)
+		must.True(t, answered)
+		must.Greater(t, reply.Started, again.Started)
+		must.SliceEmpty(t, again.Running)
+		must.Eq(t, 1, c.CrashesCaused())
+		must.Eq(t, 2, c.RunsLost())
+		for index := range 2 {
+			must.Eq(t, 1, c.CrashesUnder(job.TaskRef{Job: jobID, Index: index}))
+		}
+	}
+}
+
+// TestMayFailAfterTwoWorkersCrashed: crashes count whatever their cause, each worker
+// once.
+func TestMayFailAfterTwoWorkersCrashed(t *testing.T) {
+	c := newCrashingCluster(false)
+	must.True(t, startOn(t, c, started, 0, 1, 1))
+	c.Crash(workerID(0))
+	c.Boot(started+1, workerID(0))
+	must.True(t, startOn(t, c, started+1, 0, 1, 2))
+	c.Crash(workerID(0))
+	must.False(t, c.MayFail(jobID))
+	must.True(t, startOn(t, c, started+2, 1, 1, 3))
+	must.False(t, c.MayFail(jobID))
+	c.Crash(workerID(1))
+	must.True(t, c.MayFail(jobID))
+}
+
+// TestCrashBudget: the third start after three crashes breaks the rule, but only of a
+// task that crashes its workers.
+func TestCrashBudget(t *testing.T) {
+	for index := range 2 {
+		c := newCrashingCluster(false)
+		now := started
+		for worker := range 6 {
+			must.SliceEmpty(t, c.Violations())
+			must.True(t, startOn(t, c, now, worker, index, worker+1))
+			now += after
+			if index == 1 {
+				c.Crash(workerID(worker))
+			}
+			c.Advance(now)
+		}
+		if index == 1 {
+			must.SliceEmpty(t, c.Violations())
+			continue
+		}
+		must.SliceLen(t, 1, c.Violations())
+		must.True(t, strings.HasPrefix(c.Violations()[0], "BUDGET"))
+	}
+}
--- a/internal/standin/cluster/idle.go
+++ b/internal/standin/cluster/idle.go
@@ -44,7 +44,7 @@
 	var free []platform.Resources
 	var used, total int64
 	for _, w := range c.workers {
-		if !w.reachable() || w.info.Draining {
+		if !w.up || w.partitioned || w.info.Draining {
 			continue
 		}
 		room := w.info.Capacity
--- a/internal/standin/cluster/run.go
+++ b/internal/standin/cluster/run.go
@@ -16,7 +16,7 @@
 	defer c.mu.Unlock()
 	for _, w := range c.workers {
 		c.finishUpkeep(now, w)
-		c.advance(now, w)
+		c.settle(now, w)
 		c.sampleLatency(now, w)
 	}
 }
@@ -29,7 +29,7 @@
 			continue
 		}
 		end := a.startedAt + time.Duration(float64(a.remainingWork)/w.speed)
-		if w.stalled || c.step(ref).LongRunning {
+		if w.stalled || a.crashAt > 0 || c.step(ref).LongRunning {
 			end = now + time.Hour
 		}
 		lapse := w.bootedAt + time.Duration(w.leaseEnd)
@@ -78,6 +78,7 @@
 func (c *Cluster) finish(now time.Duration, t *jobModel, w *worker, ref job.TaskRef, a *attempt) {
 	if w.failing || t.fails(ref, a.number) {
 		t.failures[ref]++
+		t.recordFailedAttempt(c.step(ref), ref, a.number)
 		c.end(now, w, ref, a, fleet.EndFailed, "")
 		return
 	}
@@ -90,6 +91,19 @@
 	c.end(now, w, ref, a, fleet.EndDone, "")
 }
 
+func (t *jobModel) recordFailedAttempt(step *job.Step, ref job.TaskRef, number platform.Attempt) {
+	if step.LongRunning {
+		return
+	}
+	if step.Gang {
+		ref.Index = 0
+	}
+	if t.failedAttempts[ref] == nil {
+		t.failedAttempts[ref] = map[platform.Attempt]bool{}
+	}
+	t.failedAttempts[ref][number] = true
+}
+
 // runningTasks returns the running tasks in a deterministic order.
 func (w *worker) runningTasks() []job.TaskRef {
 	list := make([]job.TaskRef, 0, len(w.running))
@@ -161,8 +175,14 @@
 	return fmt.Sprint(int64(max(0, a.remainingWork-done)))
 }
 
-// reachable reports whether orders reach the worker.
-func (w *worker) reachable() bool { return w != nil && w.up && !w.partitioned }
+// reached simulates a worker up to now and reports whether an order reaches it.
+func (c *Cluster) reached(now time.Duration, w *worker) bool {
+	if w == nil || w.partitioned {
+		return false
+	}
+	c.settle(now, w)
+	return w.up
+}
 
 // Start executes an order to start an attempt. The second result is false if no
 // reply arrives.
@@ -170,12 +190,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.workers[id]
-	if !w.reachable() || w.mute {
+	if !c.reached(now, w) || w.mute {
 		return fleet.Answer{}, false
 	}
-	c.advance(now, w)
 	verdict := c.start(now, w, o)
-	return fleet.Answer{Verdict: verdict, Clock: w.clock(now)}, w.replyArrives()
+	arrives := w.replyArrives()
+	if t := c.jobs[o.Task.Job]; verdict == fleet.Accepted && t.crashesWorkers(o.Task) {
+		arrives = arrives && !t.crashing.AnswerLost(o.Task, o.Attempt)
+	}
+	return fleet.Answer{Verdict: verdict, Clock: w.clock(now)}, arrives
 }
 
 // replyArrives reports whether the reply to an executed order arrives, and if not
@@ -221,7 +244,11 @@
 		fmt.Sscan(o.Checkpoint, &nanos)
 		remaining = time.Duration(nanos)
 	}
-	w.running[o.Task] = &attempt{number: o.Attempt, startedAt: now, remainingWork: remaining, checkpoint: o.Checkpoint, cpuPercent: 100}
+	a := &attempt{number: o.Attempt, startedAt: now, remainingWork: remaining, checkpoint: o.Checkpoint, cpuPercent: 100}
+	if t.crashesWorkers(o.Task) {
+		a.crashAt = now + t.crashing.After(o.Task, o.Attempt)
+	}
+	w.running[o.Task] = a
 	c.startTimes = append(c.startTimes, now)
 	w.startCount++
 	return fleet.Accepted
@@ -245,10 +272,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.workers[id]
-	if !w.reachable() || w.mute {
+	if !c.reached(now, w) || w.mute {
 		return fleet.Answer{}, false
 	}
-	c.advance(now, w)
 	if o.Token < w.fencingToken {
 		return fleet.Answer{Verdict: fleet.RefusedFenced, Clock: w.clock(now)}, w.replyArrives()
 	}
@@ -266,7 +292,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.workers[id]
-	if !w.reachable() || w.mute {
+	if !c.reached(now, w) || w.mute {
 		return fleet.Answer{}, false
 	}
 	if o.Token < w.fencingToken {
@@ -288,10 +314,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := c.workers[id]
-	if !w.reachable() {
+	if !c.reached(now, w) {
 		return fleet.RenewReply{}, false
 	}
-	c.advance(now, w)
 	if o.Token < w.fencingToken {
 		return fleet.RenewReply{Verdict: fleet.RefusedFenced, Clock: w.clock(now)}, true
 	}
