Simulated workers: an incomplete gang makes no progress

Members that waited for the others reported checkpoints as if they had worked, so a gang that was restarted a few times ended as done without having run. TestIncompleteGangMakesNoProgress failed before: checkpoint "0" after 2 s.

--- a/internal/standin/cluster/crashes_test.go
+++ b/internal/standin/cluster/crashes_test.go
@@ -120,3 +120,16 @@
 		must.True(t, strings.HasPrefix(c.Violations()[0], "BUDGET"))
 	}
 }
+
+// TestIncompleteGangMakesNoProgress: members that waited for the others reported
+// checkpoints, and the gang ended without having run.
+func TestIncompleteGangMakesNoProgress(t *testing.T) {
+	c := newCrashingCluster(false)
+	c.Job(jobID, &job.Submission{Spec: job.Spec{Steps: []job.Step{{Tasks: 2, Gang: true, Checkpointing: true}}}}, nil, nil)
+	must.True(t, startOn(t, c, started, 0, 1, 1))
+	reply, answered := renew(c, started+2*time.Second, 0)
+	must.True(t, answered)
+	must.SliceLen(t, 1, reply.Running)
+	must.Eq(t, "", reply.Running[0].Checkpoint)
+	must.Zero(t, reply.Running[0].Progress)
+}
--- a/internal/standin/cluster/run.go
+++ b/internal/standin/cluster/run.go
@@ -164,7 +164,7 @@
 	if !c.step(ref).Checkpointing {
 		return ""
 	}
-	if w.stalled {
+	if w.stalled || c.step(ref).Gang && !a.gangStarted {
 		// Without this an attempt that stands still would leave less than no work.
 		return a.checkpoint
 	}
@@ -342,7 +342,7 @@
 	switch {
 	case c.step(ref).LongRunning:
 		return 100
-	case w.stalled:
+	case w.stalled || c.step(ref).Gang && !a.gangStarted:
 		return 0
 	}
 	return int(100 * min(1, float64(now-a.startedAt)*w.speed/float64(max(1, a.remainingWork))))
