--- a/internal/experiment/day/callers.go
+++ b/internal/experiment/day/callers.go
@@ -12,6 +12,7 @@
 	"github.com/siskinvane/siskinvane/internal/process/node"
 	"github.com/siskinvane/siskinvane/internal/process/pause"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
+	"github.com/siskinvane/siskinvane/internal/standin/cluster"
 )
 
 const (
@@ -39,6 +40,8 @@
 	submission *job.Submission
 	// longRunning is set if the job runs until its caller cancels it.
 	longRunning bool
+	// crashing is set if tasks of the job crash the workers that start them.
+	crashing bool
 
 	accepted, cancelled, refused bool
 	// cancelRequested is set once the caller has requested cancellation. The
@@ -89,9 +92,47 @@
 			return time.Duration((0.3 + 1.7*draw(ref, 0)) * float64(time.Second))
 		},
 		func(ref job.TaskRef, n platform.Attempt) bool { return draw(ref, uint64(n)<<16) < failShare })
+	c.drawCrashing(p, rand.New(rand.NewPCG(p.Seed, crashingStream+uint64(number))))
 	return c
 }
 
+const (
+	// maxCrashDelay bounds the time from a crashing task's start until its worker crashes.
+	maxCrashDelay = 300 * time.Millisecond
+	// minCrashDown and maxCrashDown bound the time for which a worker is down after it.
+	minCrashDown = time.Second
+	maxCrashDown = 5 * time.Second
+	// wholeStepShare is the fraction of crashing jobs of whose crashing step all tasks crash
+	// their workers, and not only one.
+	wholeStepShare = 0.5
+	// crashAnswerLostShare is the fraction of start orders of crashing tasks whose answer is
+	// lost.
+	crashAnswerLostShare = 0.3
+)
+
+// drawCrashing draws whether the job has tasks that crash their workers, and which and how.
+// It has random numbers of its own, so that the share of such jobs changes nothing else of a
+// day.
+func (c *caller) drawCrashing(p Plan, random *rand.Rand) {
+	if c.crashing = random.Float64() < p.CrashingShare; !c.crashing {
+		return
+	}
+	step := random.IntN(len(c.submission.Spec.Steps))
+	only, whole := random.IntN(c.submission.Spec.Steps[step].Tasks), random.Float64() < wholeStepShare
+	seed := random.Uint64()
+	draw := func(ref job.TaskRef, n platform.Attempt, salt uint64) float64 {
+		return rand.New(rand.NewPCG(seed^salt, uint64(n)<<16+uint64(ref.Index))).Float64()
+	}
+	c.sim.cluster.CrashWorkersOf(c.id, cluster.Crashing{
+		Tasks: func(ref job.TaskRef) bool { return ref.Step == step && (whole || ref.Index == only) },
+		After: func(ref job.TaskRef, n platform.Attempt) time.Duration {
+			return time.Duration(draw(ref, n, 1) * float64(maxCrashDelay))
+		},
+		AnswerLost: func(ref job.TaskRef, n platform.Attempt) bool { return draw(ref, n, 2) < crashAnswerLostShare },
+		DownFor:    minCrashDown + time.Duration(random.Int64N(int64(maxCrashDown-minCrashDown))),
+	})
+}
+
 // drawSteps draws the number of batch steps of a job.
 func drawSteps(longRunning bool, random *rand.Rand) int {
 	if longRunning {
@@ -205,6 +246,9 @@
 	if state == job.Done && !c.sim.cluster.Done(c.id) {
 		c.violations = append(c.violations, fmt.Sprintf("MIXED at %v: job %s is shown as done", c.sim.now(), c.id))
 	}
+	if state == job.Failed && !c.sim.cluster.MayFail(c.id) {
+		c.violations = append(c.violations, fmt.Sprintf("LOST at %v: job %s is shown as failed without cause", c.sim.now(), c.id))
+	}
 	if state == job.Cancelled && !c.cancelRequested {
 		c.violations = append(c.violations, fmt.Sprintf("LOST at %v: job %s is shown as cancelled", c.sim.now(), c.id))
 	}
--- a/internal/experiment/day/day.go
+++ b/internal/experiment/day/day.go
@@ -33,6 +33,9 @@
 	PayloadBytes int `json:"payload_bytes,omitempty"`
 	// LongRunningShare is the fraction of jobs that run until their callers cancel them.
 	LongRunningShare float64 `json:"long_running_share,omitempty"`
+	// CrashingShare is the fraction of jobs with tasks that crash the workers that start
+	// them.
+	CrashingShare float64 `json:"crashing_share,omitempty"`
 	// LinkKBPerSecond is the bandwidth, in 1000 bytes per second and direction, of each
 	// host's link to the workers. Zero stands for no limit.
 	LinkKBPerSecond float64 `json:"link_kb_per_second,omitempty"`
@@ -47,6 +50,12 @@
 type Report struct {
 	Jobs, Accepted, Done, Failed, Cancelled, Refused, Unknown int
 	Tasks                                                     int
+	// CrashingJobs is the number of accepted jobs with tasks that crash their workers,
+	// CrashingFailed that of those that ended failed.
+	CrashingJobs, CrashingFailed int
+	// CrashesCaused is the number of workers' crashes that tasks have caused, RunsLost the
+	// number of attempts that were running on workers when these crashed for any reason.
+	CrashesCaused, RunsLost int
 	// Violations describes the violated guarantees.
 	Violations []string
 	// Waiting describes the tasks that waited although they could run, and the hosts that
@@ -68,8 +77,12 @@
 const startupTime = 2 * time.Second
 
 // declarationsStream selects the random numbers that versions of the declarations are drawn
-// from. Those of callers are numbered from 1.
-const declarationsStream = 1 << 32
+// from, and crashingStream is added to a caller's number for those that its job's crashes are
+// drawn from. The streams of callers are numbered from 1.
+const (
+	declarationsStream = 1 << 32
+	crashingStream     = 1 << 33
+)
 
 // wavePollInterval is the interval between two checks whether all upkeep waves have
 // ended.
@@ -142,7 +155,10 @@
 
 // summarize aggregates the results of callers and workers into a report.
 func summarize(sim *simulation, callers []*caller) Report {
-	r := Report{Jobs: len(callers), Tasks: sim.cluster.Starts(), Violations: sim.cluster.Violations(), RanOn: sim.cluster.RanOn(sim.now())}
+	r := Report{
+		Jobs: len(callers), Tasks: sim.cluster.Starts(), Violations: sim.cluster.Violations(), RanOn: sim.cluster.RanOn(sim.now()),
+		CrashesCaused: sim.cluster.CrashesCaused(), RunsLost: sim.cluster.RunsLost(),
+	}
 	if n := sim.cluster.OpenWaves(); n > 0 {
 		r.Violations = append(r.Violations, fmt.Sprintf("LATE: %d waves of upkeep are not over", n))
 	}
@@ -155,6 +171,8 @@
 		incrementIf(&r.Unknown, c.outcomeUnknown)
 		incrementIf(&r.Done, c.finalState == job.Done)
 		incrementIf(&r.Failed, c.finalState == job.Failed)
+		incrementIf(&r.CrashingJobs, c.crashing && c.accepted)
+		incrementIf(&r.CrashingFailed, c.crashing && c.finalState == job.Failed)
 		if c.finalState.Final() {
 			durations = append(durations, c.duration)
 		}
@@ -186,6 +204,8 @@
 		value any
 	}{
 		{"jobs", r.Jobs}, {"accepted", r.Accepted}, {"done", r.Done}, {"failed", r.Failed}, {"cancelled", r.Cancelled},
+		{"with crashing tasks", r.CrashingJobs}, {"of these failed", r.CrashingFailed},
+		{"workers crashed by tasks", r.CrashesCaused}, {"attempts lost in crashes", r.RunsLost},
 		{"refused at least once", r.Refused}, {"left open at least once", r.Unknown}, {"tasks started", r.Tasks},
 		{"time until over, half", r.Half.Round(time.Millisecond)}, {"time until over, 19 of 20", r.Most.Round(time.Millisecond)},
 		{"longest run after a cancellation", r.RanOn.Round(time.Millisecond)}, {"faults", len(r.Faults)}, {"broken promises", len(r.Violations)}, {"waited although there was room", len(r.Waiting)},
