Give up tasks that crash their workers

Cause: the end of a worker was no event of its tasks. Their leases ran out, nobody counted, and nothing of it was in the log.

Each loss of a worker's run now counts for the tasks that were there, by worker and run, in the job's progress; a task starts again only once the log holds the count. The run is known to be over by a new run of the worker, or another worker at its address (its entry, or a refused renewal), which also ends the wait for the leases; else the worker may only be silent, and the count is taken back if the run answers. As soon as a worker does not answer, its enrollment record names the attempts there, so that the next owner counts them. A task that had just started is a suspect and starts where no other has just started, so that the next crash tells it from its neighbours. A job fails once one of its tasks was on two workers that crashed and is the only likely cause of a later crash, had just started at three crashes, or may have been there at four. Workers that drain or have upkeep do not count.

--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -60,6 +60,13 @@
 			"task": note.Task.String(), "attempt": note.Attempt, "worker": note.Worker, "reason": note.Reason, "silent_ms": note.Silent.Milliseconds(),
 		})
 	}
+	for _, note := range n.Crashes {
+		d.counter("attempts.crashed").Inc(1)
+		event.WorkerLostUnderTask.Log(d.Logger, logrus.Fields{
+			"task": note.Task.String(), "worker": note.Worker, "over": note.Over, "started": note.Started, "settled": note.Settled, "blamed": note.Blamed,
+			"crashes": note.Crashes, "given_up": note.GivenUp,
+		})
+	}
 	for _, note := range n.SetAside {
 		d.counter("workers.set_aside").Inc(1)
 		event.WorkerSetAside.Log(d.Logger, logrus.Fields{"worker": note.Worker, "reason": note.Reason, "for_ms": note.For.Milliseconds()})
--- a/internal/process/dispatch/renew.go
+++ b/internal/process/dispatch/renew.go
@@ -172,7 +172,12 @@
 			event.WorkerUnreachable.Log(d.Logger, logrus.Fields{"worker": w.ID, "verdict": reply.Verdict.String(), "error": err})
 		}
 		d.counter("holds.unanswered").Inc(1)
-		d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) { s.RenewFailed(now, sent, w.ID) })
+		d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) {
+			s.RenewFailed(now, sent, w.ID)
+			if reply.Verdict == fleet.RefusedOtherRun {
+				s.WorkerReplaced(now, w.ID)
+			}
+		})
 		return false
 	}
 	if len(reply.Ended) > 0 {
--- a/internal/process/event/job.go
+++ b/internal/process/event/job.go
@@ -21,6 +21,8 @@
 	WorkerSetAside = declare(7117, logrus.InfoLevel, "worker set aside")
 	AttemptLost    = declare(7116, logrus.InfoLevel, "attempt given up")
 
+	WorkerLostUnderTask = declare(7118, logrus.InfoLevel, "worker lost under a task")
+
 	StartNotAccepted = declare(7101, logrus.InfoLevel, "start not accepted")
 	AdviceFailed     = declare(7104, logrus.WarnLevel, "advice not given")
 	PaceFailed       = declare(7103, logrus.WarnLevel, "pace not accepted")
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -144,6 +144,9 @@
 func (s *Shard) SetCordoned(ids []platform.WorkerID) {
 	for _, w := range s.workers {
 		cordoned := slices.Contains(ids, w.info.ID)
+		if cordoned || w.cordoned {
+			w.cordonedAt = s.now
+		}
 		if w.cordoned != cordoned {
 			w.cordoned = cordoned
 			s.dirty.all = true
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -76,6 +76,34 @@
 	Checkpoints map[int]string `cbor:"4,keyasint,omitempty"`
 	// EndedMS is when the state became terminal, in Unix milliseconds.
 	EndedMS int64 `cbor:"5,keyasint,omitempty"`
+	// Crashes lists the runs of workers that were lost under each task.
+	Crashes map[int][]Crash `cbor:"7,keyasint,omitempty"`
+}
+
+// Crash is a run of a worker that was lost while an attempt of a task may have been
+// running there.
+type Crash struct {
+	Worker platform.WorkerID `cbor:"1,keyasint"`
+	// Run is the worker's run, as in fleet.Worker.
+	Run int64 `cbor:"2,keyasint"`
+	// Over is set if the run is known to be over. Else the worker may only be silent.
+	Over bool `cbor:"3,keyasint,omitempty"`
+	// Started is set if the attempt is known to have started there.
+	Started bool `cbor:"4,keyasint,omitempty"`
+	// Settled is set if the attempt had run for a while, which makes it an unlikely cause.
+	Settled bool `cbor:"5,keyasint,omitempty"`
+	// Blamed is set if the run is over and the attempt is the only likely cause.
+	Blamed bool `cbor:"6,keyasint,omitempty"`
+}
+
+// LostAttempt is an attempt on a worker that does not answer.
+type LostAttempt struct {
+	Task    TaskRef          `cbor:"1,keyasint"`
+	Attempt platform.Attempt `cbor:"2,keyasint"`
+	// Started is set if the worker had accepted the attempt's start order or listed it.
+	Started bool `cbor:"3,keyasint,omitempty"`
+	// Settled is set if the attempt had run for a while when the worker last answered.
+	Settled bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Attempts is a list of attempts of one task, without duplicates and unordered.
@@ -107,6 +135,9 @@
 	// Run is the worker's run that has accepted the owner's fencing token, as in
 	// fleet.Worker.
 	Run int64 `cbor:"6,keyasint"`
+	// Lost are the attempts on the worker while it does not answer its owner: the next
+	// owner has to know of them if the run turns out to be over.
+	Lost []LostAttempt `cbor:"7,keyasint,omitempty"`
 }
 
 // BitSet is a bit set of small non-negative numbers.
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -91,6 +92,11 @@
 	queuedAt Instant
 	// stoppedAt is when the task last lost an attempt.
 	stoppedAt Instant
+	// crashChange is the journal's number of the task's last crash, or zero.
+	crashChange uint64
+	// heldSince is since when a worker with room was left out for the task because others
+	// had just started there, or zero.
+	heldSince Instant
 }
 
 func (t *task) ref() job.TaskRef {
@@ -161,7 +167,8 @@
 func cloneProgress(p job.Progress) job.Progress {
 	c := p
 	c.Done = append(job.BitSet(nil), p.Done...)
-	c.Failures, c.Checkpoints = map[int]job.Attempts{}, map[int]string{}
+	c.Failures, c.Checkpoints, c.Crashes = map[int]job.Attempts{}, map[int]string{}, map[int][]job.Crash{}
+	maps.Copy(c.Crashes, p.Crashes)
 	for n, f := range p.Failures {
 		c.Failures[n] = f
 	}
--- a/internal/scheduler/journal.go
+++ b/internal/scheduler/journal.go
@@ -77,7 +77,7 @@
 	for _, w := range s.journal.enrolled {
 		u.Enrolled = append(u.Enrolled, job.Enrollment{
 			Worker: w.info.ID, Addr: w.info.Addr.String(), Service: w.info.Service, Capacity: w.info.Capacity,
-			Claim: s.claim, Run: w.run,
+			Claim: s.claim, Run: w.run, Lost: w.takeLost(),
 		})
 	}
 	for id := range s.journal.unenrolled {
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -108,6 +108,7 @@
 	}
 	if w.unresponsiveSince == 0 {
 		w.unresponsiveSince = sent
+		s.recordLoss(w)
 	}
 }
 
@@ -118,6 +119,7 @@
 // expireLeases drops the attempts of unresponsive workers whose leases have expired.
 // An attempt that an unanswered order starts late is stopped once the worker answers.
 func (s *Shard) expireLeases(now Instant) {
+	s.expireLostRuns(now)
 	for _, w := range s.workers {
 		w.expireUnansweredStarts(now)
 		if !w.registered && len(w.attempts) == 0 && len(w.unansweredStarts) == 0 && s.attemptsKnown(now, w) {
@@ -127,6 +129,7 @@
 		if !w.unresponsive() || w.clock.readAt == 0 || now < w.clock.leasesExpireAt()+leaseExpiryMargin {
 			continue
 		}
+		w.closeRun()
 		for _, a := range w.attempts {
 			s.loseAttempt(now, a, "lease over")
 		}
--- a/internal/scheduler/notes.go
+++ b/internal/scheduler/notes.go
@@ -19,6 +19,17 @@
 	Lost      []LostNote
 	Held      []WaitingNote
 	SetAside  []SetAsideNote
+	Crashes   []CrashNote
+}
+
+// CrashNote says that a run of a worker was lost under a task.
+type CrashNote struct {
+	Task job.TaskRef
+	job.Crash
+	// Crashes counts the lost runs of the task. GivenUp is set if its job has failed
+	// because of them.
+	Crashes int
+	GivenUp bool
 }
 
 // SetAsideNote says that a worker gets no tasks for a while.
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -39,6 +39,9 @@
 		s.handleRefusedStart(now, a)
 		return StartAction{}, false
 	}
+	if !a.startSent {
+		a.run = a.worker.run
+	}
 	a.orderedAt, a.startSent = now, true
 	action.Worker, action.Run = a.worker.info, a.worker.run
 	action.Order.LeaseEnd = a.worker.clock.extendLease(now, s.leaseLength())
@@ -54,6 +57,9 @@
 	if a == nil {
 		return
 	}
+	if err == nil && action.Run == a.worker.run {
+		a.worker.heardAt = now
+	}
 	switch {
 	case errors.Is(err, platform.ErrOutcomeUnknown):
 		s.handleUnansweredStart(now, a)
@@ -163,6 +169,7 @@
 		Task: a.ref, Attempt: a.number, Worker: a.worker.info.ID, Reason: reason, Silent: now - a.worker.listsReceived,
 	})
 	s.dropAttempt(now, a)
+	s.suspectCrash(now, a)
 }
 
 // stopAttempt orders an attempt to stop. Its resources stay reserved until its end is
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -285,6 +285,9 @@
 			return
 		}
 		w := rated.best(t)
+		if w == nil && t.isSuspect() {
+			continue
+		}
 		if w == nil {
 			return
 		}
@@ -305,6 +308,10 @@
 		size: t.step.spec.Reserved(), orderedAt: now, checkpoint: t.checkpoint, ticket: t.step.ticket(w), cpuPercent: 100, appliedPercent: 100,
 	}
 	s.trackAttempt(now, a)
+	w.startedAt, t.heldSince = now, 0
+	if t.isSuspect() {
+		w.trialUntil = now + settleTime
+	}
 	return a
 }
 
--- a/internal/scheduler/rating.go
+++ b/internal/scheduler/rating.go
@@ -39,13 +39,17 @@
 }
 
 // best returns the worker with the highest score that can take a task, the first one of
-// several, or nil.
+// several, or nil. Workers that were lost under the task come last.
 func (l *ratings) best(t *task) *workerState {
-	best := -1
+	best, bestCrashed := -1, false
 	for i := range l.rated {
 		c := &l.rated[i]
-		if !c.full && (best < 0 || c.score > l.rated[best].score) && c.worker.attempts[t.ref()] == nil {
-			best = i
+		if c.full || !l.placement.mayStartBeside(t, c.worker) || c.worker.attempts[t.ref()] != nil {
+			continue
+		}
+		crashed := t.crashedOn(c.worker)
+		if best < 0 || bestCrashed && !crashed || bestCrashed == crashed && c.score > l.rated[best].score {
+			best, bestCrashed = i, crashed
 		}
 	}
 	if best < 0 {
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -27,6 +27,7 @@
 		}
 	}
 	w.clock.update(now, lists.Clock)
+	s.markHeard(now, w)
 	s.markReconciled(now, w)
 	s.dirty.add(w)
 	w.unresponsiveSince = 0
@@ -233,6 +234,7 @@
 	if a == nil {
 		a = s.adoptAttempt(now, w, t, r)
 	}
+	a.run = w.run
 	if a.phase == starting {
 		a.phase, a.confirmedAt = running, now
 		a.startedAt = now
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -13,6 +13,7 @@
 package scheduler
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/siskinvane/siskinvane/internal/platform"
@@ -79,6 +80,10 @@
 
 	// heldEnds are the ends of attempts of jobs that the shard does not have.
 	heldEnds []heldEnd
+	// lostRuns are the runs of workers that were lost lately and may have crashed.
+	lostRuns map[workerRun]*lostRun
+	// workerAt holds the latest worker that was seen at an address.
+	workerAt map[netip.AddrPort]platform.WorkerID
 	// stopsInFlight counts the stop orders that were issued and have no outcome yet.
 	stopsInFlight map[stopKey]int
 	// openAdviceRequests counts the requests to the advice service that are in flight.
@@ -105,6 +110,8 @@
 		workers:       map[platform.WorkerID]*workerState{},
 		startRates:    map[capacityClass]*startRate{},
 		stopsInFlight: map[stopKey]int{},
+		lostRuns:      map[workerRun]*lostRun{},
+		workerAt:      map[netip.AddrPort]platform.WorkerID{},
 		headroom:      headroom.NewModel(),
 		lengths:       length.NewModel(),
 		journal: journal{
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -111,7 +111,7 @@
 
 // attemptsKnown reports whether every attempt that may run on a worker is tracked.
 func (s *Shard) attemptsKnown(now Instant, w *workerState) bool {
-	return w.reconciled || s.takeover.leasesExpired(now, w.previousClaim)
+	return w.reconciled || w.gone || s.takeover.leasesExpired(now, w.previousClaim)
 }
 
 // countWithUnknownAttempts counts the workers that may run untracked attempts.
@@ -129,6 +129,10 @@
 // its failures can be unread that would exceed its limit. An attempt that was seen running
 // was the only one, since its owner knew that the earlier ones had ended.
 func (p *placement) safeToStart(t *task) bool {
+	if t.crashChange > p.shard.journal.lastRecorded {
+		// A later owner would not know of the crash.
+		return false
+	}
 	if !t.step.job.beforeTakeover {
 		return true
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -58,6 +58,18 @@
 	batchAttempts int
 	// dirty is set while the worker is in the shard's dirty set.
 	dirty bool
+	// heardAt is when the worker's run last answered. lastRun describes the run before.
+	heardAt Instant
+	lastRun endedRun
+	// gone is set once the worker's run is known to be over and no later one is known.
+	gone bool
+	// cordonedAt is when the worker was last seen cordoned, or zero.
+	cordonedAt Instant
+	// lossRecorded is set while the log lists the worker's attempts as lost.
+	lossRecorded bool
+	// startedAt is when a task was last placed on the worker. Until trialUntil a suspect
+	// must be the only task that has just started there.
+	startedAt, trialUntil Instant
 	// unansweredStarts are the start orders that got no answer and may still be carried
 	// out. A new run of the worker would accept them, since it has forgotten the later
 	// orders that made the old run refuse them.
@@ -89,6 +101,9 @@
 	number platform.Attempt
 	phase  phase
 	size   platform.Resources
+	// run is the worker's run that was first ordered to start the attempt, or that lists
+	// it.
+	run int64
 	// orderedAt is when the order of the current phase was last sent, confirmedAt when
 	// it was answered.
 	orderedAt   Instant
@@ -165,6 +180,7 @@
 	}
 	w.info = info
 	w.registered = true
+	s.noteAddress(now, w)
 	w.updateDrainEnd(now, info)
 	s.updateColocation(now, w)
 	if w.run != 0 && info.Started > w.run && info.Started != w.runBefore {
@@ -202,9 +218,11 @@
 		return fmt.Errorf("enrollment of worker %s: %w", e.Worker, err)
 	}
 	w := s.workerFor(e.Worker)
-	w.info = fleet.Worker{ID: e.Worker, Addr: addr, Service: e.Service, Capacity: e.Capacity}
+	w.info = fleet.Worker{ID: e.Worker, Addr: addr, Service: e.Service, Capacity: e.Capacity, Started: e.Run}
 	w.previousClaim = e.Claim
 	s.takeover.enrolledWorkers++
+	s.workerAt[addr] = e.Worker
+	s.inheritLostRun(e)
 	return nil
 }
 
@@ -213,12 +231,14 @@
 // lists of the new run tell which. Unanswered start orders may still reach the new run,
 // so it is ordered to stop those attempts.
 func (s *Shard) handleRestart(now Instant, w *workerState, run int64) {
+	w.closeRun()
+	w.setRun(now, run)
+	w.gone = false
 	for _, a := range w.attempts {
 		if a.confirmedAt != 0 && a.confirmedAt < w.listsRequested {
 			s.loseAttempt(now, a, "worker restarted")
 		}
 	}
-	w.setRun(now, run)
 	for ref, start := range w.unansweredStarts {
 		if now < start.expiresAt {
 			// A stop order in flight may be meant for the previous run.
@@ -322,7 +342,7 @@
 // schedulable reports whether a worker may get new tasks at all. While it runs orphans
 // its free resources are not known.
 func (w *workerState) schedulable() bool {
-	return w.registered && w.enrolled && w.reconciled && w.orphans == 0 && w.clock.known && !w.unresponsive() && !w.info.Draining && !w.cordoned
+	return w.registered && !w.gone && w.enrolled && w.reconciled && w.orphans == 0 && w.clock.known && !w.unresponsive() && !w.info.Draining && !w.cordoned
 }
 
 // free returns the unreserved resources of a worker.
