--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -149,7 +149,9 @@
 	upkeepEnds   time.Duration
 	machineToken platform.Epoch
 	info         fleet.Worker
-	bootedAt     time.Duration
+	// former are the earlier capacities of the current run, oldest first.
+	former   []formerCapacity
+	bootedAt time.Duration
 	// bootAt is when the worker boots again after a crash that an attempt caused, or zero.
 	bootAt       time.Duration
 	bootCount    int64
@@ -230,6 +232,7 @@
 	w.running = map[job.TaskRef]*attempt{}
 	w.fencedAttempts = map[job.TaskRef]platform.Attempt{}
 	w.ended, w.lastEndNumber = nil, 0
+	w.former = nil
 }
 
 // Entry returns a worker's registration.
@@ -299,6 +302,16 @@
 	c.workers[id].bootCount -= runs
 }
 
+// SetCapacity changes the capacity of a worker, which keeps it over crashes. Its entry
+// shows the change at once.
+func (c *Cluster) SetCapacity(now time.Duration, id platform.WorkerID, capacity platform.Resources) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.workers[id]
+	w.former = append(w.former, formerCapacity{capacity: w.info.Capacity, until: now})
+	w.info.Capacity = capacity
+}
+
 // SetPartitioned sets whether a worker is partitioned: orders do not reach it.
 func (c *Cluster) SetPartitioned(id platform.WorkerID, partitioned bool) {
 	c.mu.Lock()
