--- a/internal/experiment/day/command.go
+++ b/internal/experiment/day/command.go
@@ -117,6 +117,7 @@
 		{"quiet_seconds", float64(p.QuietSeconds), 1, maxSeconds},
 		{"jobs_per_second", p.JobsPerSecond, 0.01, maxJobsPerSecond},
 		{"random_faults", float64(p.RandomFaults), 0, maxRandomFaults},
+		{"random_reductions", float64(p.RandomReductions), 0, maxRandomFaults},
 		{"payload_bytes", float64(p.PayloadBytes), 0, maxPayloadBytes},
 		{"long_running_share", p.LongRunningShare, 0, 1},
 		{"crashing_share", p.CrashingShare, 0, 1},
--- a/internal/experiment/day/command_test.go
+++ b/internal/experiment/day/command_test.go
@@ -22,6 +22,8 @@
 		"faults[0].at_ms":         `{` + valid + `,"faults":[{"kind":"kill_host","at_ms":5001}]}`,
 		"faults[0].worker: 4":     `{` + valid + `,"faults":[{"kind":"crash_worker","worker":4}]}`,
 		"faults[0].for_ms":        `{` + valid + `,"faults":[{"kind":"crash_worker","for_ms":-1}]}`,
+		"faults[0].capacity_perc": `{` + valid + `,"faults":[{"kind":"shrink_workers","capacity_percent":101}]}`,
+		"random_reductions: -1":   `{` + valid + `,"random_reductions":-1}`,
 		"unexpected end of JSON":  `{`,
 		"crashing_share: 2, want": `{` + valid + `,"crashing_share":2}`,
 		"jobs_per_second: 0, wan": `{"hosts":3,"workers":4,"seconds":5,"quiet_seconds":20}`,
--- a/internal/experiment/day/day.go
+++ b/internal/experiment/day/day.go
@@ -42,6 +42,9 @@
 	Faults          []Fault `json:"faults,omitempty"`
 	// RandomFaults is the number of faults drawn in addition to Faults.
 	RandomFaults int `json:"random_faults,omitempty"`
+	// RandomReductions is the number of reductions of workers' capacities drawn in
+	// addition to Faults.
+	RandomReductions int `json:"random_reductions,omitempty"`
 	// Seed seeds the generators of jobs, callers and faults.
 	Seed uint64 `json:"-"`
 }
@@ -84,6 +87,9 @@
 	crashingStream     = 1 << 33
 )
 
+// reductionsStream selects the random numbers that reductions of capacities are drawn from.
+const reductionsStream = 1<<32 + 1
+
 // wavePollInterval is the interval between two checks whether all upkeep waves have
 // ended.
 const wavePollInterval = 500 * time.Millisecond
@@ -94,6 +100,7 @@
 	random := rand.New(rand.NewPCG(p.Seed, 0))
 	duration := time.Duration(p.Seconds) * time.Second
 	faults := append(slices.Clone(p.Faults), DrawFaults(random, p.RandomFaults, p.Hosts, p.Workers, duration)...)
+	faults = append(faults, DrawReductions(rand.New(rand.NewPCG(p.Seed, reductionsStream)), p.RandomReductions, p.Workers, duration)...)
 	sim := newSimulation(p.Hosts, p.Workers, logger)
 	sim.linkBytesPerSecond = p.LinkKBPerSecond * 1000
 	sim.narrowHosts = p.NarrowHosts
--- a/internal/experiment/day/day_test.go
+++ b/internal/experiment/day/day_test.go
@@ -117,3 +117,15 @@
 		})
 	}
 }
+
+// TestCapacityChanges guards against starts on capacities that workers no longer have, and
+// against work that is lost when they shrink below what runs.
+func TestCapacityChanges(t *testing.T) {
+	p := Plan{Hosts: 3, Workers: 12, Seconds: 20, QuietSeconds: 90, JobsPerSecond: 20, LongRunningShare: 0.2, Seed: 8}
+	for i := range int64(4) {
+		p.Faults = append(p.Faults,
+			Fault{AtMS: 1000 + 4500*i, ForMS: 6000, Kind: ShrinkWorkers, CapacityPercent: 20 * i},
+			Fault{AtMS: 3000 + 4500*i, ForMS: 500, Kind: ShrinkWorker, Worker: int(3 + i), CapacityPercent: 50})
+	}
+	runDay(t, p)
+}
--- a/internal/experiment/day/faults.go
+++ b/internal/experiment/day/faults.go
@@ -51,13 +51,23 @@
 	DrainWorker Kind = "drain_worker"
 	// UpkeepWave declares an upkeep wave.
 	UpkeepWave Kind = "upkeep_wave"
+	// ShrinkWorker reduces the capacity of a worker for the fault's duration.
+	ShrinkWorker Kind = "shrink_worker"
+	// ShrinkWorkers is ShrinkWorker for the first third of the workers.
+	ShrinkWorkers Kind = "shrink_workers"
 )
 
-var allKinds = []Kind{
+// randomKinds are the kinds that DrawFaults draws from.
+var randomKinds = []Kind{
 	KillHost, StopHost, KillAll, StoreDown, StoreBusy, StoreSlow, StoreLost, StoreLate, RebalanceGroups, Compact,
 	CrashWorker, CutWorker, MuteWorker, CutHost, LoseWorker, CrashWorkers, DrainWorker, UpkeepWave,
 }
 
+// capacityKinds are the kinds that DrawReductions draws from.
+var capacityKinds = []Kind{ShrinkWorker, ShrinkWorkers}
+
+var allKinds = slices.Concat(randomKinds, capacityKinds)
+
 // Fault is one fault of a plan.
 type Fault struct {
 	// AtMS is the start and ForMS the duration, both in milliseconds.
@@ -68,6 +78,9 @@
 	// -2 for the shard's owner; kill_all affects all hosts whatever Host says.
 	Host   int `json:"host,omitempty"`
 	Worker int `json:"worker,omitempty"`
+	// CapacityPercent is the capacity that shrink_worker and shrink_workers leave, in
+	// percent of the whole.
+	CapacityPercent int64 `json:"capacity_percent,omitempty"`
 }
 
 // Special values of Fault.Host.
@@ -88,6 +101,8 @@
 		return fmt.Errorf("host: %d, want %d to %d", f.Host, Owner, p.Hosts-1)
 	case f.Worker < 0 || f.Worker >= p.Workers:
 		return fmt.Errorf("worker: %d, want 0 to %d", f.Worker, p.Workers-1)
+	case f.CapacityPercent < 0 || f.CapacityPercent > 100:
+		return fmt.Errorf("capacity_percent: %d, want 0 to 100", f.CapacityPercent)
 	}
 	return nil
 }
@@ -98,7 +113,7 @@
 	for range count {
 		f := Fault{
 			AtMS: random.Int64N(duration.Milliseconds()), ForMS: 500 + random.Int64N(5500),
-			Kind: allKinds[random.IntN(len(allKinds))], Worker: random.IntN(workers),
+			Kind: randomKinds[random.IntN(len(randomKinds))], Worker: random.IntN(workers),
 		}
 		switch random.IntN(3) {
 		case 0:
@@ -113,6 +128,19 @@
 	return list
 }
 
+// DrawReductions draws count reductions of the capacity of workers that start within
+// duration.
+func DrawReductions(random *rand.Rand, count, workers int, duration time.Duration) []Fault {
+	list := make([]Fault, 0, count)
+	for range count {
+		list = append(list, Fault{
+			AtMS: random.Int64N(duration.Milliseconds()), ForMS: 500 + random.Int64N(11_500),
+			Kind: capacityKinds[random.IntN(len(capacityKinds))], Worker: random.IntN(workers), CapacityPercent: 20 + random.Int64N(61),
+		})
+	}
+	return list
+}
+
 // inject waits for the fault's start, injects it and reverts it after its duration.
 func (sim *simulation) inject(f Fault) {
 	time.Sleep(time.Duration(f.AtMS) * time.Millisecond)
@@ -146,6 +174,8 @@
 		sim.declareWave(f)
 	case CrashWorker, CutWorker, LoseWorker, CrashWorkers, DrainWorker:
 		sim.disturbWorkers(f, worker, duration)
+	case ShrinkWorker, ShrinkWorkers:
+		sim.reduceCapacity(f, worker, duration)
 	default:
 		sim.disturbStore(f.Kind, hosts, duration)
 	}
@@ -240,7 +270,7 @@
 	default:
 		ids := []platform.WorkerID{id}
 		if f.Kind == CrashWorkers {
-			ids = sim.workers[:(len(sim.workers)+2)/3]
+			ids = sim.firstThird()
 		}
 		for _, id := range ids {
 			sim.cluster.Crash(id)
@@ -252,6 +282,28 @@
 	}
 }
 
+// firstThird returns the first third of the workers.
+func (sim *simulation) firstThird() []platform.WorkerID { return sim.workers[:(len(sim.workers)+2)/3] }
+
+// reduceCapacity reduces the capacity of workers for the given time.
+func (sim *simulation) reduceCapacity(f Fault, id platform.WorkerID, duration time.Duration) {
+	ids := []platform.WorkerID{id}
+	if f.Kind == ShrinkWorkers {
+		ids = sim.firstThird()
+	}
+	whole := workerCapacity
+	reduced := platform.Resources{
+		MilliCPU: whole.MilliCPU * f.CapacityPercent / 100, MemoryMB: whole.MemoryMB * f.CapacityPercent / 100,
+	}
+	for _, id := range ids {
+		sim.cluster.SetCapacity(sim.now(), id, reduced)
+	}
+	time.Sleep(duration)
+	for _, id := range ids {
+		sim.cluster.SetCapacity(sim.now(), id, whole)
+	}
+}
+
 const (
 	// replacementDelay is the time between a worker's end and the start of its
 	// replacement.
--- a/internal/experiment/day/simulation.go
+++ b/internal/experiment/day/simulation.go
@@ -106,10 +106,13 @@
 		ID: platform.WorkerID(fmt.Sprintf("w%02d", i)), Service: service, Rack: rack,
 		Addr:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, byte(i + 1)}), 80),
 		Labels:   []string{"a", string(rack)},
-		Capacity: platform.Resources{MilliCPU: 32_000, MemoryMB: 128_000},
+		Capacity: workerCapacity,
 	}
 }
 
+// workerCapacity is the capacity of a worker while no fault reduces it.
+var workerCapacity = platform.Resources{MilliCPU: 32_000, MemoryMB: 128_000}
+
 // now returns the time since the day began.
 func (sim *simulation) now() time.Duration { return time.Since(sim.startedAt) }
 
