Send no start order to a worker that has shrunk since the plan

BeginStart did not look at the worker's capacity again. A start that waited to be sent, or the repeat of one without an answer, went to a worker that the owner knew to be too small by then. It is given up like a refused one: the task waits again, and an attempt whose first try may still be carried out is stopped.

Before: TestQueuedStartOnShrunkWorker sent all four orders where two fit (batch) or none may be sent (gang); TestRepeatedStartOnShrunkWorker sent the repeat.

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/siskinvane/siskinvane/internal/platform"
+	"github.com/siskinvane/siskinvane/internal/platform/fleet"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
@@ -18,19 +19,12 @@
 	})
 }
 
-// shrink reduces a worker's capacity and lets the time pass until it counts.
-func (h *harness) shrink(worker platform.WorkerID, percent int64) {
-	h.setCapacity(worker, percent)
-	h.syncWorkers()
-	h.run(5 * time.Second)
-}
-
 // TestQueuedStartOnShrunkWorker: a start order that waited to be sent was sent although the
 // worker had shrunk since the plan.
 func TestQueuedStartOnShrunkWorker(t *testing.T) {
 	cases := map[string]struct {
 		step job.Step
-		// sent is how many of the four planned orders fit on half of the worker.
+		// sent is how many of the four planned orders are sent to half of the worker.
 		sent int
 	}{
 		"batch": {batchStep(4), 2},
@@ -42,21 +36,52 @@
 			h.run(time.Second)
 			c.step.Size.MilliCPU = 8000
 			id := h.submit(firstID, fixedLength(1), nil, c.step)
-			a := h.planOnce(4)
-			must.SliceLen(t, 4, a.Starts)
+			planned := h.planOnce(4).Starts
+			must.SliceLen(t, 4, planned)
 			h.setCapacity("w00", 50)
 			h.syncWorkers()
 			sent := 0
-			for _, start := range a.Starts {
-				if _, wanted := h.shard.BeginStart(h.now, start); wanted {
+			for _, action := range planned {
+				if start, wanted := h.shard.BeginStart(h.now, action); wanted {
 					sent++
+					answer, _ := h.cluster.Start(h.now, start.Worker.ID, start.Order)
+					h.shard.StartAnswered(h.now, start, answer, nil)
 				}
 			}
-			must.LessEq(t, 2, sent)
-			if name == "batch" {
-				must.Eq(t, c.sent, sent)
-			}
-			_ = id
+			must.Eq(t, c.sent, sent)
+			h.setCapacity("w00", 100)
+			h.syncWorkers()
+			h.run(4 * time.Second)
+			must.Eq(t, job.Done, h.state(id))
+			h.checkViolations()
 		})
 	}
 }
+
+// TestRepeatedStartOnShrunkWorker: a start order without an answer was repeated although
+// the worker had shrunk. The first try may still be carried out, so the attempt is stopped.
+func TestRepeatedStartOnShrunkWorker(t *testing.T) {
+	h := newHarness(t, 1)
+	h.run(time.Second)
+	id := h.submit(firstID, fixedLength(1), nil, batchStep(1))
+	planned := h.planOnce(1).Starts
+	must.SliceLen(t, 1, planned)
+	start, wanted := h.shard.BeginStart(h.now, planned[0])
+	must.True(t, wanted)
+	h.shard.StartAnswered(h.now, start, fleet.Answer{}, platform.ErrOutcomeUnknown)
+	repeated := h.planOnce(1).Starts
+	must.SliceLen(t, 1, repeated)
+	h.setCapacity("w00", 10)
+	h.syncWorkers()
+	_, wanted = h.shard.BeginStart(h.now, repeated[0])
+	must.False(t, wanted)
+	stops := h.planOnce(1).Stops
+	must.SliceLen(t, 1, stops)
+	answer, _ := h.cluster.Stop(h.now, "w00", stops[0].Order)
+	h.shard.StopAnswered(h.now, stops[0], answer, nil)
+	h.setCapacity("w00", 100)
+	h.syncWorkers()
+	h.run(5 * time.Second)
+	must.Eq(t, job.Done, h.state(id))
+	h.checkViolations()
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -38,6 +38,10 @@
 		// be given.
 		s.handleRefusedStart(now, a)
 		return StartAction{}, false
+	case a.worker.overcommitted():
+		// The worker has shrunk since the plan.
+		s.handleRefusedStart(now, a, false)
+		return StartAction{}, false
 	}
 	if !a.startSent {
 		a.run = a.worker.run
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -352,6 +352,10 @@
 	return free
 }
 
+// overcommitted reports whether more is reserved on a worker than its capacity, which may
+// have shrunk since.
+func (w *workerState) overcommitted() bool { return !(platform.Resources{}).Fits(w.free()) }
+
 // endedLog tracks which of a worker's listed ends were applied and recorded.
 type endedLog struct {
 	// applied is the highest end number that was applied, recorded the highest that is
