Start nothing on a new run of a worker before its entry is read

A worker's lists can show a restart before its entry does. Its capacity and labels are then those of the run before: tasks were started on a worker that had come back smaller, at once, since a new run has no former capacity. The worker gets tasks again once an entry of the new run is read, which is at most one poll (0.3 s) after it was written.

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -1,12 +1,14 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/fleet"
+	"github.com/siskinvane/siskinvane/internal/scheduler"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
@@ -85,3 +87,35 @@
 	must.Eq(t, job.Done, h.state(id))
 	h.checkViolations()
 }
+
+// TestNewRunWaitsForItsEntry: the lists of a worker's new run arrived before its entry, and
+// tasks were started on the capacity and the labels of the run before.
+func TestNewRunWaitsForItsEntry(t *testing.T) {
+	for _, planned := range []bool{false, true} {
+		t.Run(fmt.Sprintf("planned before: %v", planned), func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.run(time.Second)
+			id := h.submit(firstID, fixedLength(1), nil, batchStep(4))
+			var queued []scheduler.StartAction
+			if planned {
+				queued = h.planOnce(4).Starts
+				must.SliceLen(t, 4, queued)
+			}
+			h.cluster.Crash("w00")
+			h.setCapacity("w00", 15)
+			h.cluster.Boot(h.now, "w00")
+			h.now += tickInterval
+			h.renewLeases("w00")
+			for _, start := range queued {
+				_, wanted := h.shard.BeginStart(h.now, start)
+				must.False(t, wanted)
+			}
+			h.run(300 * time.Millisecond)
+			must.Zero(t, h.cluster.Starts())
+			h.syncWorkers()
+			h.run(6 * time.Second)
+			must.Eq(t, job.Done, h.state(id))
+			h.checkViolations()
+		})
+	}
+}
--- a/internal/scheduler/crash_guard_test.go
+++ b/internal/scheduler/crash_guard_test.go
@@ -19,6 +19,7 @@
 	for _, id := range ids {
 		h.cluster.Boot(h.now, id)
 	}
+	h.syncWorkers()
 }
 
 // workersOf returns the workers on which a task of a job runs.
@@ -84,6 +85,7 @@
 		for i := range 4 {
 			h.cluster.Boot(h.now, workerInfo(i).ID)
 		}
+		h.syncWorkers()
 	}
 	must.False(t, h.cluster.Started(id))
 	h.run(settleTime)
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -38,9 +38,9 @@
 		// be given.
 		s.handleRefusedStart(now, a)
 		return StartAction{}, false
-	case a.worker.overcommitted():
-		// The worker has shrunk since the plan.
-		s.handleRefusedStart(now, a, false)
+	case a.worker.entryOutdated() || a.worker.overcommitted():
+		// The worker has restarted or shrunk since the plan.
+		s.handleRefusedStart(now, a)
 		return StartAction{}, false
 	}
 	if !a.startSent {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -342,9 +342,14 @@
 // schedulable reports whether a worker may get new tasks at all. While it runs orphans
 // its free resources are not known.
 func (w *workerState) schedulable() bool {
-	return w.registered && !w.gone && w.enrolled && w.reconciled && w.orphans == 0 && w.clock.known && !w.unresponsive() && !w.info.Draining && !w.cordoned
+	return w.registered && !w.gone && !w.entryOutdated() && w.enrolled && w.reconciled && w.orphans == 0 && w.clock.known && !w.unresponsive() &&
+		!w.info.Draining && !w.cordoned
 }
 
+// entryOutdated reports whether the worker's entry was written by an earlier run, which may
+// have had another capacity and other labels.
+func (w *workerState) entryOutdated() bool { return w.info.Started != 0 && w.info.Started < w.run }
+
 // free returns the unreserved resources of a worker.
 func (w *workerState) free() platform.Resources {
 	free := w.info.Capacity.Sub(w.reserved)
