Read the workers' entries without a pause while behind

An owner read one page of changes of the entries every 0.3 s. Where the link or a slow store had brought the size of a read down to 64 KB, the entries of several hundred workers changed faster than that, and what the owner knew of draining workers and of capacities became older with each poll. Changes.More tells that there are later changes, and the next page is then read at once.

--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -206,6 +206,8 @@
 	All     bool
 	Set     []Worker
 	Removed []platform.WorkerID
+	// More is set if there may already be later changes.
+	More bool
 	// Unreadable are the errors of invalid entries.
 	Unreadable []error
 }
--- /dev/null
+++ b/internal/process/node/entries_test.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+	"github.com/siskinvane/siskinvane/internal/platform"
+	"github.com/siskinvane/siskinvane/internal/platform/fleet"
+	"github.com/siskinvane/siskinvane/internal/process/dispatch"
+	"github.com/siskinvane/siskinvane/internal/scheduler/job"
+)
+
+// backlog is a registry with a number of changes that were not read yet, each of which a
+// call returns. It implements fleet.Registry.
+type backlog struct{ left, calls int }
+
+// Next implements fleet.Registry.
+func (b *backlog) Next(context.Context) (fleet.Changes, error) {
+	b.calls++
+	if b.left == 0 {
+		return fleet.Changes{More: true}, nil
+	}
+	b.left--
+	return fleet.Changes{Removed: []platform.WorkerID{platform.WorkerID(fmt.Sprint(b.left))}, More: b.left > 0}, nil
+}
+
+// TestEntriesAreReadWithoutPauseWhileBehind: on a link that allows only small reads the
+// entries of many workers changed faster than they were read, and were older each time.
+func TestEntriesAreReadWithoutPauseWhileBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		started := time.Now()
+		clock := func() time.Duration { return time.Since(started) }
+		registry := &backlog{left: 20}
+		n := &Node{Config: Config{Logger: logger, Clock: clock, Registry: func() fleet.Registry { return registry }}}
+		n.storeHealth = newStoreHealth(logger, clock)
+		d := dispatch.New(dispatch.Config{Clock: clock, Logger: logger, Metrics: metrics.NewRegistry(), Ownership: job.Ownership{Epoch: 1, Claim: 1}})
+		ctx, cancel := context.WithCancel(t.Context())
+		go n.followWorkers(ctx, d)
+		time.Sleep(registryPollInterval / 2)
+		must.Zero(t, registry.left)
+		must.Eq(t, 20, registry.calls)
+		time.Sleep(10 * registryPollInterval)
+		must.Eq(t, 30, registry.calls, must.Sprint("a call that returns nothing is not repeated at once"))
+		cancel()
+		d.Abort()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -258,6 +258,9 @@
 		if err == nil {
 			n.storeHealth.reportSuccess("workers' entries", sent)
 			d.SetWorkers(changes)
+			if changes.More && len(changes.Set)+len(changes.Removed)+len(changes.Unreadable) > 0 {
+				continue
+			}
 		}
 		// The loop ends with the context.
 		_ = pause.For(ctx, registryPollInterval)
