Start nothing on stale capacities once capacities have changed

Callers saw nothing; workers were given more than they had room for. Without access to the store an owner goes on for up to 10 s while two thirds of its workers answer, on the capacities that it read last. A reduction is in force 3 s after the entry shows it.

An owner now starts nothing on entries that are older than 2.5 s once it has seen the capacity of a worker change during its run. It hands this on with what it has learned. Where capacities never change it goes on as before. The first change of all may fall into an outage: that is left open, since holding starts in every outage costs where capacities are fixed.

The smallest capacity seen was weighed as a bound instead: it does not hold when a worker shrinks further than before.

--- a/internal/experiment/day/day_test.go
+++ b/internal/experiment/day/day_test.go
@@ -129,3 +129,36 @@
 	}
 	runDay(t, p)
 }
+
+// TestCapacityChangesWhileStoreIsAway: an owner without access to the store started tasks on
+// the capacities that it had read seconds before.
+func TestCapacityChangesWhileStoreIsAway(t *testing.T) {
+	for _, kind := range []Kind{StoreDown, StoreBusy} {
+		t.Run(string(kind), func(t *testing.T) {
+			runDay(t, Plan{
+				Hosts: 3, Workers: 12, Seconds: 16, QuietSeconds: 120, JobsPerSecond: 20, LongRunningShare: 0.2, Seed: 1,
+				Faults: []Fault{
+					{AtMS: 2000, ForMS: 1000, Kind: ShrinkWorker, CapacityPercent: 90},
+					{AtMS: 6000, ForMS: 9000, Kind: kind, Host: AllHosts},
+					{AtMS: 6500, ForMS: 8000, Kind: ShrinkWorkers, CapacityPercent: 30},
+				},
+			})
+		})
+	}
+}
+
+// TestRandomReductions guards against starts on capacities that workers no longer have: the
+// workers are nearly full, and their capacities change while hosts, the store and workers
+// fail.
+func TestRandomReductions(t *testing.T) {
+	for i := range (*days + 2) / 3 {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runDay(t, Plan{
+				Hosts: 4, Workers: 12, Seconds: 20, QuietSeconds: 120, JobsPerSecond: 18, LongRunningShare: 0.2,
+				Faults:       []Fault{{ForMS: 1000, Kind: ShrinkWorker, CapacityPercent: 90}},
+				RandomFaults: i % 6, RandomReductions: 4 + i%4, Seed: seed,
+			})
+		})
+	}
+}
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -270,8 +270,9 @@
 	})
 }
 
-// SetWorkers applies changes of the workers' registry entries.
-func (d *Dispatcher) SetWorkers(c fleet.Changes) {
+// SetWorkers applies changes of the workers' registry entries, which were requested at the
+// time requested.
+func (d *Dispatcher) SetWorkers(requested time.Duration, c fleet.Changes) {
 	d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) {
 		if c.All {
 			listed := map[platform.WorkerID]bool{}
@@ -291,6 +292,9 @@
 		for _, id := range c.Removed {
 			s.RemoveWorker(now, id)
 		}
+		if !c.More {
+			s.EntriesRead(requested)
+		}
 	})
 }
 
--- a/internal/process/dispatch/flow_test.go
+++ b/internal/process/dispatch/flow_test.go
@@ -225,7 +225,7 @@
 				Capacity: platform.Resources{MilliCPU: 100_000, MemoryMB: 100_000},
 			})
 		}
-		d.SetWorkers(changes)
+		d.SetWorkers(d.Clock(), changes)
 		time.Sleep(2 * time.Second)
 		f(d)
 	})
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -257,7 +257,7 @@
 		}
 		if err == nil {
 			n.storeHealth.reportSuccess("workers' entries", sent)
-			d.SetWorkers(changes)
+			d.SetWorkers(sent, changes)
 			if changes.More && len(changes.Set)+len(changes.Removed)+len(changes.Unreadable) > 0 {
 				continue
 			}
--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -119,3 +119,82 @@
 		})
 	}
 }
+
+// changeCapacity lets the shard see a worker's capacity change.
+func (h *harness) changeCapacity(worker platform.WorkerID) {
+	for _, percent := range []int64{50, 100} {
+		h.setCapacity(worker, percent)
+		h.syncWorkers()
+		h.run(200 * time.Millisecond)
+	}
+}
+
+// TestStaleEntries: an owner without access to the store started tasks on capacities that
+// its workers no longer had. One whose workers keep their capacities must go on.
+func TestStaleEntries(t *testing.T) {
+	cases := map[string]struct {
+		changed bool
+		// takenOver is set if the capacities changed under an earlier owner.
+		takenOver bool
+	}{
+		"capacities never changed":            {false, false},
+		"capacities changed":                  {true, false},
+		"capacities changed before takeover":  {true, true},
+		"unchanged before takeover and since": {false, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			h.run(time.Second)
+			if c.changed {
+				h.changeCapacity("w01")
+			}
+			if c.takenOver {
+				learned, err := h.shard.LearnedModels()
+				must.NoError(t, err)
+				h.takeOver(true)
+				must.NoError(t, h.shard.RestoreModels(learned))
+				h.run(200 * time.Millisecond)
+			}
+			id := h.submit(firstID, fixedLength(0.5), nil, batchStep(500))
+			h.run(time.Second)
+			h.syncWorkers()
+			if c.changed {
+				h.setCapacity("w00", 20)
+			}
+			h.run(4 * time.Second)
+			starts := h.cluster.Starts()
+			h.run(4 * time.Second)
+			h.checkViolations()
+			must.Eq(t, c.changed, starts == h.cluster.Starts())
+			h.syncWorkers()
+			h.run(time.Second)
+			must.Greater(t, starts, h.cluster.Starts())
+			for h.state(id) != job.Done && h.now < 5*time.Minute {
+				h.run(time.Second)
+				h.syncWorkers()
+			}
+			must.Eq(t, job.Done, h.state(id))
+			h.checkViolations()
+		})
+	}
+}
+
+// TestQueuedStartWithStaleEntries: a start order that waited to be sent was sent after the
+// entries had become too old.
+func TestQueuedStartWithStaleEntries(t *testing.T) {
+	for _, changed := range []bool{false, true} {
+		h := newHarness(t, 1)
+		h.run(time.Second)
+		if changed {
+			h.changeCapacity("w00")
+		}
+		h.syncWorkers()
+		h.submit(firstID, fixedLength(1), nil, batchStep(1))
+		planned := h.planOnce(1).Starts
+		must.SliceLen(t, 1, planned)
+		h.now += 3 * time.Second
+		_, wanted := h.shard.BeginStart(h.now, planned[0])
+		must.Eq(t, !changed, wanted)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/entries.go
@@ -0,0 +1,29 @@
+package scheduler
+
+import "time"
+
+// maxEntryAge is how long the capacities in the workers' entries can be relied on once
+// capacities have been seen to change. A reduction is in force no earlier than 3 s after a
+// worker's entry shows it; the rest is for an order to arrive.
+const maxEntryAge = 2500 * time.Millisecond
+
+// entries tracks how far the workers' entries can be relied on.
+type entries struct {
+	// readThrough is the time up to which all changes of the entries are known.
+	readThrough Instant
+	// capacityChanged is set once the capacity of a worker has changed during its run.
+	capacityChanged bool
+}
+
+// EntriesRead records that SetWorker and RemoveWorker were called for every change of the
+// entries up to the time through.
+func (s *Shard) EntriesRead(through Instant) {
+	s.entries.readThrough = max(s.entries.readThrough, through)
+}
+
+// capacitiesKnown reports whether tasks may be started on the capacities that the entries
+// have shown. Without access to the store an owner continues as long as the capacities of
+// its workers do not change.
+func (s *Shard) capacitiesKnown(now Instant) bool {
+	return !s.entries.capacityChanged || now <= s.entries.readThrough+maxEntryAge
+}
--- a/internal/scheduler/learned.go
+++ b/internal/scheduler/learned.go
@@ -13,12 +13,14 @@
 type learnedModels struct {
 	Headroom headroom.Snapshot `cbor:"1,keyasint"`
 	Lengths  length.Snapshot   `cbor:"2,keyasint"`
+	// CapacityChanged is set once the capacity of a worker has changed during its run.
+	CapacityChanged bool `cbor:"3,keyasint,omitempty"`
 }
 
 // LearnedModels returns the encoded models of the interference of images and of the run
 // times of tasks, for the next owner.
 func (s *Shard) LearnedModels() ([]byte, error) {
-	data, err := cbor.Marshal(learnedModels{s.headroom.Snapshot(s.now), s.lengths.Snapshot()})
+	data, err := cbor.Marshal(learnedModels{s.headroom.Snapshot(s.now), s.lengths.Snapshot(), s.entries.capacityChanged})
 	if err != nil {
 		return nil, fmt.Errorf("encode what was learned: %w", err)
 	}
@@ -33,5 +35,6 @@
 	}
 	s.headroom.Restore(l.Headroom, s.takenOverAt)
 	s.lengths.Restore(l.Lengths)
+	s.entries.capacityChanged = s.entries.capacityChanged || l.CapacityChanged
 	return nil
 }
--- a/internal/scheduler/notes.go
+++ b/internal/scheduler/notes.go
@@ -110,6 +110,9 @@
 	// Unreconciled counts the workers on which an earlier owner's attempt of the task
 	// may still run; the task waits for them.
 	Unreconciled int
+	// EntriesAge is the age of the workers' entries if it is too high to start anything,
+	// else zero.
+	EntriesAge time.Duration
 }
 
 // TakeNotes returns and clears the notes.
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -154,6 +154,9 @@
 	if !p.safeToStart(t) {
 		note.Unreconciled = p.shard.countWithUnknownAttempts(p.now)
 	}
+	if !p.shard.capacitiesKnown(p.now) {
+		note.EntriesAge = p.now - p.shard.entries.readThrough
+	}
 	image := p.shard.headroom.Image(r.spec.Image)
 	for _, w := range p.schedulableWorkers(p.service(r)) {
 		switch {
@@ -227,6 +230,9 @@
 // by service and sorted.
 func (p *placement) groupSchedulable(list []*workerState) map[platform.ServiceName][]*workerState {
 	byService := map[platform.ServiceName][]*workerState{}
+	if !p.shard.capacitiesKnown(p.now) {
+		return byService
+	}
 	for _, w := range list {
 		if w.schedulable() && w.health.accepts(p.now, w) {
 			byService[w.info.Service] = append(byService[w.info.Service], w)
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -61,6 +61,7 @@
 	// periodic are the jobs that have occurrences to come.
 	periodic map[job.ID]*jobState
 	workers  map[platform.WorkerID]*workerState
+	entries  entries
 	// sortedWorkers are the workers sorted by ID.
 	sortedWorkers []*workerState
 	dirty         dirtySet
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -178,6 +178,9 @@
 	if w.info.Addr != info.Addr {
 		w.enrolled, w.enrolling = false, false
 	}
+	if w.info.Started == info.Started && info.Started != 0 && w.info.Capacity != info.Capacity {
+		s.entries.capacityChanged = true
+	}
 	w.info = info
 	w.registered = true
 	s.noteAddress(now, w)
