--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -198,3 +198,149 @@
 		must.Eq(t, !changed, wanted)
 	}
 }
+
+// shrink reduces a worker's capacity and lets the time pass until the reduction counts.
+func (h *harness) shrink(worker platform.WorkerID, percent int64) {
+	h.setCapacity(worker, percent)
+	h.runSynced(5 * time.Second)
+}
+
+// runSynced is run with fresh entries.
+func (h *harness) runSynced(d time.Duration) {
+	for end := h.now + d; h.now < end; {
+		h.syncWorkers()
+		h.tick()
+	}
+}
+
+// TestShrunkWorkerTakesWhatFits guards against starts beyond a capacity that has shrunk, and
+// against work that never starts after it has grown again.
+func TestShrunkWorkerTakesWhatFits(t *testing.T) {
+	memoryStep := fillerStep(12, "batch")
+	memoryStep.Size = platform.Resources{MilliCPU: 1000, MemoryMB: 16_000}
+	cases := map[string]struct {
+		step    job.Step
+		percent int64
+		// running is how many tasks run on what is left.
+		running int
+	}{
+		"batch":                        {batchStep(8), 50, 4},
+		"batch, nothing left":          {batchStep(8), 0, 0},
+		"gang":                         {gangStep(8), 50, 0},
+		"long-running":                 {job.Step{Tasks: 5, Size: platform.Resources{MilliCPU: 6000, MemoryMB: 12_000}, LongRunning: true}, 50, 2},
+		"serving":                      {servingStep(5, "web"), 50, 2},
+		"fillers reserve their memory": {memoryStep, 50, 4},
+		"fillers need spare CPU":       {fillerStep(6, "batch"), 10, 0},
+		"fillers, nothing left":        {fillerStep(6, "batch"), 0, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.run(time.Second)
+			h.shrink("w00", c.percent)
+			id := h.submit(firstID, fixedLength(100), nil, c.step)
+			h.runSynced(2 * time.Second)
+			must.Eq(t, c.running, h.cluster.Running(id))
+			h.setCapacity("w00", 100)
+			h.runSynced(2 * time.Second)
+			must.Greater(t, c.running, h.cluster.Running(id))
+			h.checkViolations()
+		})
+	}
+}
+
+// TestShrinkingBelowWhatRuns: nothing is stopped for the capacity alone, and nothing starts
+// until enough has ended, whatever its priority. What is being stopped still counts.
+func TestShrinkingBelowWhatRuns(t *testing.T) {
+	for _, percent := range []int64{60, 30, 0} {
+		t.Run(fmt.Sprint(percent), func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.cluster.SetInterference(queueingLatency(map[string]float64{"light": 0.005}))
+			h.run(time.Second)
+			serving := h.submit(firstID, nil, nil, servingStep(2, "web"))
+			cancelled := h.submit("00000000000000a2", fixedLength(100), nil, batchStep(3))
+			fillers := h.submit("00000000000000a3", fixedLength(20), nil, fillerStep(2, "light"))
+			h.runSynced(3 * time.Second)
+			must.Eq(t, 7, h.cluster.Running(""))
+			h.shrink("w00", percent)
+			must.Eq(t, 7, h.cluster.Running(""))
+			urgent := h.submitAs("00000000000000a4", func(s *job.Submission) { s.Priority = -1 }, fixedLength(100), nil, batchStep(1))
+			h.runSynced(2 * time.Second)
+			must.Eq(t, 0, h.cluster.Running(urgent))
+			h.shard.CancelJob(h.now, cancelled)
+			h.runSynced(2 * time.Second)
+			must.Eq(t, percent == 60, h.cluster.Running(urgent) == 1)
+			must.Eq(t, 2, h.cluster.Running(serving))
+			must.Eq(t, 2, h.cluster.Running(fillers))
+			h.setCapacity("w00", 100)
+			h.runSynced(time.Second)
+			must.Eq(t, 1, h.cluster.Running(urgent))
+			h.checkViolations()
+		})
+	}
+}
+
+// TestTasksStayWhereOthersShrank guards against a task that is stopped to move off a
+// draining worker while it fits on no other one.
+func TestTasksStayWhereOthersShrank(t *testing.T) {
+	h := newHarness(t, 2)
+	h.run(time.Second)
+	h.cordonAllBut("w00")
+	id := h.submit(firstID, nil, nil, servingStep(4, "web"))
+	h.runSynced(time.Second)
+	h.cordonAllBut("")
+	h.shrink("w01", 15)
+	h.drainWorker(0, 20*time.Second)
+	h.runSynced(3 * time.Second)
+	must.Eq(t, 4, h.cluster.Running(id))
+	must.Eq(t, 4, h.cluster.Starts())
+	h.setCapacity("w01", 100)
+	h.runSynced(3 * time.Second)
+	must.Eq(t, 4, h.cluster.Running(id))
+	must.Eq(t, 8, h.cluster.Starts())
+	h.checkViolations()
+}
+
+// TestNewOwnerUsesCapacityOfEntry guards against a start on the capacity that the log
+// recorded for a worker, which has shrunk since or has no entry.
+func TestNewOwnerUsesCapacityOfEntry(t *testing.T) {
+	h := newHarness(t, 2)
+	h.run(time.Second)
+	h.shrink("w00", 25)
+	h.unregistered["w01"] = true
+	h.takeOver(true)
+	id := h.submit(firstID, fixedLength(20), nil, batchStep(12))
+	h.runSynced(3 * time.Second)
+	must.Eq(t, 2, h.cluster.Running(id))
+	h.setCapacity("w01", 50)
+	h.runSynced(5 * time.Second)
+	must.Eq(t, 2, h.cluster.Running(id))
+	delete(h.unregistered, "w01")
+	h.runSynced(time.Second)
+	must.Eq(t, 6, h.cluster.Running(id))
+	h.checkViolations()
+}
+
+// TestAdmissionWhileWorkersAreSmall: jobs are refused while there is no room for them, but
+// never as impossible.
+func TestAdmissionWhileWorkersAreSmall(t *testing.T) {
+	h := newHarness(t, 2)
+	h.run(5 * time.Second)
+	admit := func(step job.Step) scheduler.Admission {
+		return h.shard.Admit(h.now, &job.Submission{
+			Queue: queueName, Service: service, Stretch: 2, TargetMS: 1000, Spec: job.Spec{Steps: []job.Step{step}},
+		})
+	}
+	must.True(t, admit(servingStep(4, "web")).Admitted)
+	for _, percent := range []int64{0, 10} {
+		h.shrink("w00", percent)
+		h.shrink("w01", percent)
+		a := admit(servingStep(4, "web"))
+		must.False(t, a.Admitted)
+		must.Positive(t, a.RetryAfter)
+		must.True(t, admit(batchStep(4)).Admitted, must.Sprint("batch work may wait for its objective"))
+	}
+	h.setCapacity("w00", 100)
+	h.syncWorkers()
+	must.True(t, admit(servingStep(4, "web")).Admitted)
+}
