Let a worker's answer decide which runs are over; gangs of suspects, counts of silent workers

Found by a review. A gang with a suspect could not start where its members had to share a worker, since the first one that was placed kept the others off it, also if the gang was then withdrawn: the marks are set when orders are issued now. A possible crash that an earlier owner had counted for a silent worker stayed when the worker answered the next one. Another worker's entry at the same address ended a run by comparing start times, which a clock that is set back turns around; an answer there decides. Four settled losses of workers that were only silent failed a job. Counts of tasks that are done are dropped; the losses of many workers at once are not recorded, since the owner is cut off then. TestGangOfSuspectsStarts and TestSilenceCountedByEarlierOwnerIsTakenBack failed before.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -32,6 +32,9 @@
 	maxBlamedCrashes   = 2
 	maxEarlyCrashes    = 3
 	maxPossibleCrashes = 4
+	// silentFactor says which part of the workers has to be silent for the owner to count as
+	// cut off, as its inverse.
+	silentFactor = 3
 	// lostRunRetention is how long the owner remembers a lost run. Workers that crash
 	// are back after some seconds.
 	lostRunRetention = time.Minute
@@ -46,6 +49,9 @@
 	run    int64
 }
 
+// noRun is passed for the present run of a worker that has none.
+const noRun = -1
+
 // lostRun is a run of a worker that does not answer any more.
 type lostRun struct {
 	addr     netip.AddrPort
@@ -102,10 +108,10 @@
 // listed the attempt.
 func (a *attempt) startConfirmed() bool { return a.confirmedAt != 0 && a.startedAt != 0 }
 
-// settledBy reports whether the attempt had run for settleTime at the given time. One
-// that an earlier owner started has.
+// settledBy reports whether the attempt is known to have run for settleTime at the given
+// time.
 func (a *attempt) settledBy(at Instant) bool {
-	return a.adopted || a.startConfirmed() && at >= a.startedAt+settleTime
+	return a.startConfirmed() && at >= a.startedAt+settleTime
 }
 
 // lost describes the attempt after its worker last answered at heardAt.
@@ -116,11 +122,23 @@
 // mayRun reports whether the attempt may be running on its worker.
 func (a *attempt) mayRun() bool { return a.task != nil && (a.startSent || a.adopted) }
 
-// recordLoss records the attempts of a worker that has ceased to answer.
+// recordLoss records the attempts of a worker that has ceased to answer. If a large part of
+// the workers has, it is probably the owner that is cut off, and their records would fill
+// its link.
 func (s *Shard) recordLoss(w *workerState) {
-	if w.enrolled && !w.gone && len(w.attempts) > 0 {
-		s.journal.enroll(w)
+	if !w.enrolled || w.gone || len(w.attempts) == 0 {
+		return
+	}
+	silent := 0
+	for _, other := range s.workers {
+		if other.unresponsive() {
+			silent++
+		}
+	}
+	if silent > 1 && silentFactor*silent > len(s.workers) {
+		return
 	}
+	s.journal.enroll(w)
 }
 
 // takeLost returns the attempts to be recorded as lost: those of a worker that does not
@@ -142,11 +160,33 @@
 
 // markHeard records that a worker's run has answered.
 func (s *Shard) markHeard(now Instant, w *workerState) {
+	first := w.heardAt == 0
 	w.heardAt, w.gone = now, false
 	if w.lossRecorded {
 		s.journal.enroll(w)
 	}
-	s.resolveLostRuns(now, w.info.ID, w.run)
+	if first {
+		s.replaceOthersAt(now, w)
+	}
+	if w.run != 0 && (first || w.unresponsive()) {
+		s.resolveLostRuns(now, w.info.ID, w.run)
+		s.retractCrashes(workerRun{w.info.ID, w.run})
+	}
+}
+
+// replaceOthersAt records that the workers that were at a worker's address before are over,
+// since the worker answers there.
+func (s *Shard) replaceOthersAt(now Instant, w *workerState) {
+	for id, other := range s.workers {
+		if other != w && other.info.Addr == w.info.Addr {
+			s.WorkerReplaced(now, id)
+		}
+	}
+	for key, l := range s.lostRuns {
+		if key.worker != w.info.ID && l.addr == w.info.Addr {
+			s.resolveLostRuns(now, key.worker, noRun)
+		}
+	}
 }
 
 // inheritLostRun takes over what an earlier owner recorded of a silent worker.
@@ -170,40 +210,19 @@
 	}
 	// Orders for this worker are refused at its address.
 	clear(w.unansweredStarts)
-	s.resolveLostRuns(now, id, 0)
+	s.resolveLostRuns(now, id, noRun)
 	s.dirty.add(w)
 }
 
-// noteAddress records where a worker is. A worker that was there before is over.
-func (s *Shard) noteAddress(now Instant, w *workerState) {
-	addr := w.info.Addr
-	previous, ok := s.workers[s.workerAt[addr]]
-	switch {
-	case !ok || previous == w || previous.info.Addr != addr:
-		s.workerAt[addr] = w.info.ID
-	case w.info.Started > previous.info.Started:
-		s.workerAt[addr] = w.info.ID
-		s.WorkerReplaced(now, previous.info.ID)
-	}
-	for key, l := range s.lostRuns {
-		if l.addr == addr && key.worker != w.info.ID && w.info.Started > key.run {
-			s.resolveLostRuns(now, key.worker, w.info.Started)
-		}
-	}
-}
-
-// resolveLostRuns settles what became of the lost runs of a worker, of which the given run
-// is known to be the present one, or zero if all are over. A run that answers has not
-// crashed.
+// resolveLostRuns counts the lost runs of a worker other than its present one, which is
+// known, as over.
 func (s *Shard) resolveLostRuns(now Instant, id platform.WorkerID, present int64) {
 	for key, l := range s.lostRuns {
 		if key.worker != id {
 			continue
 		}
 		delete(s.lostRuns, key)
-		if key.run == present {
-			s.retractLostRun(key, l)
-		} else {
+		if key.run != present {
 			s.countLostRun(now, key, l, true)
 		}
 	}
@@ -280,8 +299,9 @@
 	default:
 		crashes[i] = c
 	}
-	s.setCrashes(t, crashes)
-	s.journal.urgent = true
+	j.progress.Crashes[t.number] = crashes
+	s.journal.markDirty(j)
+	s.journal.urgent, t.crashChange = true, s.journal.lastChange
 	givenUp := tooManyCrashes(crashes)
 	s.notes.Crashes = append(s.notes.Crashes, CrashNote{Task: t.ref(), Crash: c, Crashes: len(crashes), GivenUp: givenUp})
 	if givenUp {
@@ -289,38 +309,30 @@
 	}
 }
 
-// retractLostRun takes back the crashes that a run counts for although it has not ended.
-func (s *Shard) retractLostRun(key workerRun, l *lostRun) {
-	if !l.counted {
-		return
-	}
-	for _, a := range l.attempts {
-		t := s.findTask(s.now, a.Task)
-		if t == nil || t.step.job.ended() {
+// retractCrashes takes back the possible crashes for which a run counts that has answered.
+func (s *Shard) retractCrashes(key workerRun) {
+	for _, j := range s.jobs {
+		if len(j.progress.Crashes) == 0 || j.ended() {
 			continue
 		}
-		crashes := slices.DeleteFunc(slices.Clone(t.step.job.progress.Crashes[t.number]), func(c job.Crash) bool {
-			return c.Worker == key.worker && c.Run == key.run
-		})
-		s.setCrashes(t, crashes)
-	}
-}
-
-// setCrashes sets the crashes of a task and marks them to be recorded.
-func (s *Shard) setCrashes(t *task, crashes []job.Crash) {
-	p := &t.step.job.progress
-	if len(crashes) == 0 {
-		delete(p.Crashes, t.number)
-	} else {
-		p.Crashes[t.number] = crashes
+		for number, crashes := range j.progress.Crashes {
+			left := slices.DeleteFunc(slices.Clone(crashes), func(c job.Crash) bool {
+				return c.Worker == key.worker && c.Run == key.run && !c.Over
+			})
+			if len(left) == len(crashes) {
+				continue
+			}
+			if j.progress.Crashes[number] = left; len(left) == 0 {
+				delete(j.progress.Crashes, number)
+			}
+			s.journal.markDirty(j)
+		}
 	}
-	s.journal.markDirty(t.step.job)
-	t.crashChange = s.journal.lastChange
 }
 
 // tooManyCrashes reports whether a task with these crashes is given up.
 func tooManyCrashes(crashes []job.Crash) bool {
-	early, blamed, workers := 0, false, map[platform.WorkerID]bool{}
+	early, possible, blamed, workers := 0, 0, false, map[platform.WorkerID]bool{}
 	for i, c := range crashes {
 		if c.Over && c.Started {
 			workers[c.Worker] = true
@@ -328,9 +340,12 @@
 		if c.Over && !c.Settled {
 			early++
 		}
+		if c.Over || !c.Settled {
+			possible++
+		}
 		blamed = blamed || i > 0 && c.Blamed
 	}
-	return blamed && len(workers) >= maxBlamedCrashes || early >= maxEarlyCrashes || len(crashes) >= maxPossibleCrashes
+	return blamed && len(workers) >= maxBlamedCrashes || early >= maxEarlyCrashes || possible >= maxPossibleCrashes
 }
 
 // isSuspectBefore reports whether the task may be the cause of the loss of a worker's run
@@ -353,9 +368,9 @@
 // started: a suspect must be the only one that has, unless that has held it for long.
 func (p *placement) mayStartBeside(t *task, w *workerState) bool {
 	if !t.isSuspect() {
-		return p.now >= w.trialUntil
+		return p.now >= w.soloUntil
 	}
-	if p.now >= w.startedAt+settleTime {
+	if p.now >= w.placedAt+settleTime {
 		return true
 	}
 	if t.heldSince == 0 {
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -255,3 +255,40 @@
 	h.checkViolations()
 	must.Eq(t, job.Done, h.state(id))
 }
+
+// TestGangOfSuspectsStarts: a member of a gang that was placed first kept the others off its
+// worker, and the gang never started where they had to share one.
+func TestGangOfSuspectsStarts(t *testing.T) {
+	h := newHarness(t, 2)
+	h.run(time.Second)
+	id := h.submit(firstID, fixedLength(2), nil, gangStep(6))
+	h.run(2 * tickInterval)
+	must.Eq(t, 6, h.cluster.Running(id))
+	h.cluster.LoseMachine("w00")
+	h.run(300 * time.Millisecond)
+	h.syncWorkers()
+	h.run(14 * time.Second)
+	h.checkViolations()
+	must.Eq(t, job.Done, h.state(id))
+}
+
+// TestSilenceCountedByEarlierOwnerIsTakenBack: an owner counted a silent worker as a possible
+// crash and ended; the worker answered the next owner, and the count stayed.
+func TestSilenceCountedByEarlierOwnerIsTakenBack(t *testing.T) {
+	h := newHarness(t, 2)
+	h.run(time.Second)
+	id := h.submit(firstID, fixedLength(30), nil, batchStep(2))
+	h.run(2 * tickInterval)
+	for i := range 2 {
+		h.cluster.SetPartitioned(workerInfo(i).ID, true)
+	}
+	h.run(7 * time.Second)
+	must.MapLen(t, 2, h.log[id].Crashes)
+	for i := range 2 {
+		h.cluster.SetPartitioned(workerInfo(i).ID, false)
+	}
+	h.takeOver(false)
+	h.run(time.Second)
+	must.MapLen(t, 0, h.log[id].Crashes)
+	h.checkViolations()
+}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -340,6 +340,7 @@
 	r, j := t.step, t.step.job
 	j.progress.Done.Add(t.number)
 	delete(j.progress.Checkpoints, t.number)
+	delete(j.progress.Crashes, t.number)
 	s.journal.markDirty(j)
 	r.remaining--
 	j.remaining--
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -314,16 +314,16 @@
 		size: t.step.spec.Reserved(), orderedAt: now, checkpoint: t.checkpoint, ticket: t.step.ticket(w), cpuPercent: 100, appliedPercent: 100,
 	}
 	s.trackAttempt(now, a)
-	w.startedAt, t.heldSince = now, 0
-	if t.isSuspect() {
-		w.trialUntil = now + settleTime
-	}
 	return a
 }
 
 // issueStart sends the start order of an assumed attempt.
 func (p *placement) issueStart(a *attempt) {
 	p.startsLeft--
+	a.worker.placedAt, a.task.heldSince = p.now, 0
+	if a.task.isSuspect() {
+		a.worker.soloUntil = p.now + settleTime
+	}
 	p.shard.startsInOrder++
 	p.shard.pending.Starts = append(p.shard.pending.Starts, p.shard.startAction(a))
 }
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -13,7 +13,6 @@
 package scheduler
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/siskinvane/siskinvane/internal/platform"
@@ -83,8 +82,6 @@
 	heldEnds []heldEnd
 	// lostRuns are the runs of workers that were lost lately and may have crashed.
 	lostRuns map[workerRun]*lostRun
-	// workerAt holds the latest worker that was seen at an address.
-	workerAt map[netip.AddrPort]platform.WorkerID
 	// stopsInFlight counts the stop orders that were issued and have no outcome yet.
 	stopsInFlight map[stopKey]int
 	// openAdviceRequests counts the requests to the advice service that are in flight.
@@ -112,7 +109,6 @@
 		startRates:    map[capacityClass]*startRate{},
 		stopsInFlight: map[stopKey]int{},
 		lostRuns:      map[workerRun]*lostRun{},
-		workerAt:      map[netip.AddrPort]platform.WorkerID{},
 		headroom:      headroom.NewModel(),
 		lengths:       length.NewModel(),
 		journal: journal{
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -67,9 +67,9 @@
 	cordonedAt Instant
 	// lossRecorded is set while the log lists the worker's attempts as lost.
 	lossRecorded bool
-	// startedAt is when a task was last placed on the worker. Until trialUntil a suspect
-	// must be the only task that has just started there.
-	startedAt, trialUntil Instant
+	// placedAt is when a start order for the worker was last issued. Until soloUntil a
+	// suspect has to be the only task that has just started there.
+	placedAt, soloUntil Instant
 	// unansweredStarts are the start orders that got no answer and may still be carried
 	// out. A new run of the worker would accept them, since it has forgotten the later
 	// orders that made the old run refuse them.
@@ -183,7 +183,6 @@
 	}
 	w.info = info
 	w.registered = true
-	s.noteAddress(now, w)
 	w.updateDrainEnd(now, info)
 	s.updateColocation(now, w)
 	if w.run != 0 && info.Started > w.run && info.Started != w.runBefore {
@@ -224,7 +223,6 @@
 	w.info = fleet.Worker{ID: e.Worker, Addr: addr, Service: e.Service, Capacity: e.Capacity, Started: e.Run}
 	w.previousClaim = e.Claim
 	s.takeover.enrolledWorkers++
-	s.workerAt[addr] = e.Worker
 	s.inheritLostRun(e)
 	return nil
 }
@@ -236,7 +234,7 @@
 func (s *Shard) handleRestart(now Instant, w *workerState, run int64) {
 	w.closeRun()
 	w.setRun(now, run)
-	w.gone = false
+	w.gone, w.heardAt = false, 0
 	for _, a := range w.attempts {
 		if a.confirmedAt != 0 && a.confirmedAt < w.listsRequested {
 			s.loseAttempt(now, a, "worker restarted")
