Give the shard up when the owner starts nothing on stale entries

Found by a review: once capacities have changed, an owner that cannot read the workers' entries starts nothing, for ever, while its joins and its reads of the log are answered. The test failed before (same owner after 20 s).

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -331,6 +331,7 @@
 	errNotClaimed   = errors.New("the ownership is not recorded")
 	errNotConfirmed = errors.New("the ownership is not confirmed")
 	errIsolated     = errors.New("nearly no worker answers")
+	errStaleEntries = errors.New("the workers' entries are too old")
 )
 
 // Unable returns why the host cannot start tasks as the shard's owner, or nil if it can.
@@ -343,8 +344,12 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.shard.Isolated(d.Clock()) {
+	now := d.Clock()
+	switch {
+	case d.shard.Isolated(now):
 		return errIsolated
+	case !d.shard.CapacitiesKnown(now):
+		return errStaleEntries
 	}
 	return nil
 }
--- a/internal/process/node/isolation_test.go
+++ b/internal/process/node/isolation_test.go
@@ -22,6 +22,10 @@
 	count   int
 	// reachable is the number of workers that answer.
 	reachable atomic.Int32
+	// memoryMB is the capacity of each worker. The entries cannot be read while unreadable
+	// is set.
+	memoryMB   atomic.Int64
+	unreadable atomic.Bool
 }
 
 func newTestWorkers(count int) *testWorkers {
@@ -36,12 +40,16 @@
 }
 
 // Next implements fleet.Registry.
-func (w *testWorkers) Next(context.Context) (fleet.Changes, error) {
+func (w *testWorkers) Next(ctx context.Context) (fleet.Changes, error) {
+	if w.unreadable.Load() {
+		return fleet.Changes{}, silence(ctx)
+	}
 	c := fleet.Changes{All: true}
 	for i := range w.count {
 		c.Set = append(c.Set, fleet.Worker{
 			ID: platform.WorkerID(fmt.Sprintf("w%d", i)), Service: "s", Started: 1,
-			Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, byte(i + 1)}), 80),
+			Addr:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, byte(i + 1)}), 80),
+			Capacity: platform.Resources{MemoryMB: w.memoryMB.Load()},
 		})
 	}
 	return c, nil
@@ -127,3 +135,19 @@
 		f.stopAll()
 	})
 }
+
+// TestOwnerWithoutEntriesLeavesShardToOthers: capacities had changed before, and the owner
+// could not read the workers' entries any more. It started nothing and kept the shard.
+func TestOwnerWithoutEntriesLeavesShardToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, reached := newFleetWithWorkers(t, "u", "v")
+		for _, w := range reached {
+			w.memoryMB.Store(1000)
+		}
+		time.Sleep(2 * time.Second)
+		reached["u"].unreadable.Store(true)
+		f.awaitOwner(maxNotServing+10*time.Second, func(owner string) bool { return owner == "v" })
+		must.Eq(t, []string{"v"}, f.watchOwners(20*time.Second))
+		f.stopAll()
+	})
+}
--- a/internal/scheduler/entries.go
+++ b/internal/scheduler/entries.go
@@ -21,9 +21,9 @@
 	s.entries.readThrough = max(s.entries.readThrough, through)
 }
 
-// capacitiesKnown reports whether tasks may be started on the capacities that the entries
+// CapacitiesKnown reports whether tasks may be started on the capacities that the entries
 // have shown. Without access to the store an owner continues as long as the capacities of
 // its workers do not change.
-func (s *Shard) capacitiesKnown(now Instant) bool {
+func (s *Shard) CapacitiesKnown(now Instant) bool {
 	return !s.entries.capacityChanged || now <= s.entries.readThrough+maxEntryAge
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -38,7 +38,7 @@
 		// be given.
 		s.handleRefusedStart(now, a)
 		return StartAction{}, false
-	case a.worker.entryOutdated() || a.worker.overcommitted() || !s.capacitiesKnown(now):
+	case a.worker.entryOutdated() || a.worker.overcommitted() || !s.CapacitiesKnown(now):
 		// The worker has restarted or shrunk since the plan, or may have.
 		s.handleRefusedStart(now, a)
 		return StartAction{}, false
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -154,7 +154,7 @@
 	if !p.safeToStart(t) {
 		note.Unreconciled = p.shard.countWithUnknownAttempts(p.now)
 	}
-	if !p.shard.capacitiesKnown(p.now) {
+	if !p.shard.CapacitiesKnown(p.now) {
 		note.EntriesAge = p.now - p.shard.entries.readThrough
 	}
 	image := p.shard.headroom.Image(r.spec.Image)
@@ -230,7 +230,7 @@
 // by service and sorted.
 func (p *placement) groupSchedulable(list []*workerState) map[platform.ServiceName][]*workerState {
 	byService := map[platform.ServiceName][]*workerState{}
-	if !p.shard.capacitiesKnown(p.now) {
+	if !p.shard.CapacitiesKnown(p.now) {
 		return byService
 	}
 	for _, w := range list {
