--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -80,9 +80,10 @@
 
 // unassume undoes assume for an attempt whose start order was not sent.
 func (s *Shard) unassume(now Instant, a *attempt) {
+	queuedAt := a.task.queuedAt
 	s.untrackAttempt(now, a)
 	a.task.lastAttempt = min(a.task.lastAttempt, a.number-1)
-	s.enqueue(now, a.task)
+	s.enqueue(queuedAt, a.task)
 }
 
 // stopGang stops the remaining members of a gang after one of them ended.
--- a/internal/scheduler/priority_test.go
+++ b/internal/scheduler/priority_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/siskinvane/siskinvane/internal/platform"
+	"github.com/siskinvane/siskinvane/internal/platform/fleet"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
@@ -120,3 +121,29 @@
 	must.LessEq(t, maxIdle, w.longest, must.Sprintf("%s waited for %v", w.task, w.longest))
 	h.checkViolations()
 }
+
+// TestRefusedStartsKeepTheirWaitingTime: a task whose starts were refused, and a gang that
+// found room for a part of its members only, began to wait anew with each try, so that they
+// never counted as starved.
+func TestRefusedStartsKeepTheirWaitingTime(t *testing.T) {
+	longestWait := func(h *harness) (longest time.Duration) {
+		h.run(6 * time.Second)
+		for _, note := range h.shard.TakeNotes().Held {
+			longest = max(longest, note.Waited)
+		}
+		return longest
+	}
+	t.Run("refused", func(t *testing.T) {
+		h := newHarness(t, 1)
+		h.run(time.Second)
+		h.cluster.RefuseStarts("w00", fleet.RefusedCapacity)
+		h.submit(firstID, nil, nil, batchStep(1))
+		must.Less(t, longestWait(h), 4*time.Second)
+	})
+	t.Run("gang", func(t *testing.T) {
+		h := newHarness(t, 1)
+		h.run(time.Second)
+		h.submit(firstID, nil, nil, gangStep(12))
+		must.Less(t, longestWait(h), 4*time.Second)
+	})
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -291,10 +291,16 @@
 	s.updateColocation(now, w)
 }
 
-// dropAttempt removes an attempt that is over and reschedules its task.
+// dropAttempt removes an attempt that is over and reschedules its task. A task whose
+// attempt has not started goes on waiting.
 func (s *Shard) dropAttempt(now Instant, a *attempt) {
-	if s.untrackAttempt(now, a) && a.task != nil {
-		s.rescheduleTask(now, a.task)
+	if !s.untrackAttempt(now, a) || a.task == nil {
+		return
+	}
+	queuedAt := a.task.queuedAt
+	s.rescheduleTask(now, a.task)
+	if a.task.queued && !a.startConfirmed() {
+		a.task.queuedAt = queuedAt
 	}
 }
 
@@ -318,7 +324,7 @@
 	if t := a.task; t != nil {
 		t.liveAttempts = slices.DeleteFunc(t.liveAttempts, func(other *attempt) bool { return other == a })
 		if j := t.step.job; j.liveAttempts > 0 {
-			if j.liveAttempts--; j.liveAttempts == 0 {
+			if j.liveAttempts--; j.liveAttempts == 0 && a.startConfirmed() {
 				j.idleSince = now
 			}
 		}
