End the attempts of an earlier run whose stop is not answered

Found by a review: a worker that restarts before it answers a stop, and whose new run answers renewals only, held the task as stopping for ever. The new run's lists end it. The test failed before.

--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -197,7 +197,7 @@
 	case running, stopped:
 		return a.confirmedAt < sent
 	case stopping:
-		return a.startUncertain && a.startExpiresAt < sent
+		return a.startUncertain && a.startExpiresAt < sent || a.run != a.worker.run && a.confirmedAt != 0 && a.confirmedAt < sent
 	}
 	return false
 }
--- a/internal/scheduler/silence_test.go
+++ b/internal/scheduler/silence_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
@@ -61,3 +62,25 @@
 	must.Eq(t, 2, h.cluster.Starts())
 	h.checkViolations()
 }
+
+// TestUnansweredStopOfEarlierRunEnds: a worker restarted before it had answered an order to stop
+// an attempt, and its new run answered renewals only. The task was counted as stopping there
+// without end.
+func TestUnansweredStopOfEarlierRunEnds(t *testing.T) {
+	h := newHarness(t, 1)
+	h.run(time.Second)
+	id := h.submit(firstID, fixedLength(20), nil, batchStep(1))
+	h.plan()
+	must.Eq(t, 1, h.cluster.Running(id))
+	h.cluster.SetMute("w00", true)
+	h.shard.SetCordoned([]platform.WorkerID{"w00"})
+	h.now += 2 * tickInterval
+	h.plan()
+	h.cluster.Crash("w00")
+	h.cluster.Boot(h.now, "w00")
+	h.cluster.AddWorker(h.now, workerInfo(1))
+	h.syncWorkers()
+	h.run(3 * time.Second)
+	must.Eq(t, 1, h.cluster.Running(id))
+	h.checkViolations()
+}
