--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -188,7 +188,7 @@
 func (s *Shard) Isolated(now Instant) bool {
 	registered, answered := 0, 0
 	for _, w := range s.workers {
-		if !w.registered {
+		if !w.registered || w.gone {
 			continue
 		}
 		registered++
