Blame no worker for a task that several have refused

Found by a review: three refusals in a row set a worker aside, whatever was refused, so one task that is refused everywhere set all workers of a quiet service aside within milliseconds. A task's first three refusals in a row count against workers, later ones delay the task by 0.5 s.

--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -49,6 +49,8 @@
 	// readingPaused suspends the reading of the log.
 	readingPaused  bool
 	throttleOrders []scheduler.ThrottleAction
+	// refusedJob is a job whose starts all workers refuse, or empty.
+	refusedJob job.ID
 	// refusesConnections is a worker that no start order reaches, or empty.
 	refusesConnections platform.WorkerID
 	// maxStarts is the number of start orders per plan.
@@ -190,6 +192,10 @@
 			if !wanted {
 				continue
 			}
+			if start.Order.Task.Job == h.refusedJob {
+				h.shard.StartAnswered(h.now, start, fleet.Answer{Verdict: fleet.RefusedInvalid}, nil)
+				continue
+			}
 			if start.Worker.ID == h.refusesConnections {
 				h.shard.StartAnswered(h.now, start, fleet.Answer{}, errNotSent)
 				continue
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -31,6 +31,9 @@
 	// maxRefusals is how many start orders in a row a worker may refuse for reasons other
 	// than its health, such as capacity that is not free yet, before it is set aside.
 	maxRefusals = 3
+	// refusedRetryDelay is the delay before the next start order of a task that several
+	// workers have refused.
+	refusedRetryDelay = 500 * time.Millisecond
 	// minSetAside and maxSetAside bound how long a worker is set aside: workers' faults
 	// last 4 to 7 s, and a worker is a sixtieth of the capacity.
 	minSetAside = 1500 * time.Millisecond
--- a/internal/scheduler/health_test.go
+++ b/internal/scheduler/health_test.go
@@ -116,3 +116,16 @@
 	must.Eq(t, job.Done, h.state(id))
 	h.checkViolations()
 }
+
+// TestTaskThatAllWorkersRefuseBlamesNone: a task that was refused by each worker set all of them
+// aside, and no other task found one.
+func TestTaskThatAllWorkersRefuseBlamesNone(t *testing.T) {
+	h := newHarness(t, 4)
+	h.run(time.Second)
+	h.refusedJob = h.submit(firstID, nil, nil, batchStep(1))
+	h.run(3 * time.Second)
+	id := h.submit(secondID, fixedLength(0.5), nil, batchStep(24))
+	h.run(1200 * time.Millisecond)
+	h.checkViolations()
+	must.Eq(t, job.Done, h.state(id))
+}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -92,6 +92,9 @@
 	queuedAt Instant
 	// stoppedAt is when the task last lost an attempt.
 	stoppedAt Instant
+	// refusals counts the start orders refused in a row; the next one may go out at retryAt.
+	refusals int
+	retryAt  Instant
 	// crashChange is the journal's number of the task's last crash, or zero.
 	crashChange uint64
 	// heldSince is since when a worker with room was left out for the task because others
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -75,6 +75,7 @@
 	case answer.Verdict == fleet.Accepted:
 		a.worker.updateClock(now, action.Run, answer.Clock)
 		a.worker.health.recordAcceptance()
+		a.task.refusals = 0
 		if a.phase == starting {
 			a.phase, a.confirmedAt, a.startedAt = running, now, now
 			s.markStarted(a.task.step.job)
@@ -100,6 +101,12 @@
 // noteRefusedStart records that a worker has refused a start order or that the order did
 // not reach it.
 func (s *Shard) noteRefusedStart(now Instant, a *attempt, unhealthy bool) {
+	a.task.refusals++
+	if !unhealthy && a.task.refusals > maxRefusals {
+		// The task is refused wherever it goes, which says nothing of the workers.
+		a.task.retryAt = now + refusedRetryDelay
+		return
+	}
 	if a.worker.health.recordRefusal(now, a.orderedAt, unhealthy) {
 		s.noteSetAside(now, a.worker, "refuses tasks")
 	}
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -125,10 +125,13 @@
 	return n
 }
 
-// safeToStart reports whether no untracked attempt of a task can be running and none of
-// its failures can be unread that would exceed its limit. An attempt that was seen running
-// was the only one, since its owner knew that the earlier ones had ended.
+// safeToStart reports whether a task may start now: no untracked attempt of it can be
+// running, and none of its failures can be unread that would exceed its limit. An attempt that
+// was seen running was the only one, since its owner knew that the earlier ones had ended.
 func (p *placement) safeToStart(t *task) bool {
+	if p.now < t.retryAt {
+		return false
+	}
 	if t.crashChange > p.shard.journal.lastRecorded {
 		// A later owner would not know of the crash.
 		return false
