--- a/internal/process/node/isolation_test.go
+++ b/internal/process/node/isolation_test.go
@@ -105,7 +105,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			f, reached := newFleetWithWorkers(t, names...)
 			reached[names[0]].reachable.Store(1)
-			f.awaitOwner(maxNotServing+10*time.Second, func(owner string) bool { return owner != "" && owner != names[0] })
+			f.awaitOwner(maxUnable+10*time.Second, func(owner string) bool { return owner != "" && owner != names[0] })
 			must.Eq(t, []string{f.owner()}, f.watchOwners(40*time.Second))
 			must.Eq(t, 2, f.claims())
 			f.stopAll()
@@ -146,7 +146,7 @@
 		}
 		time.Sleep(2 * time.Second)
 		reached["u"].unreadable.Store(true)
-		f.awaitOwner(maxNotServing+10*time.Second, func(owner string) bool { return owner == "v" })
+		f.awaitOwner(maxUnable+10*time.Second, func(owner string) bool { return owner == "v" })
 		must.Eq(t, []string{"v"}, f.watchOwners(20*time.Second))
 		f.stopAll()
 	})
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -124,15 +124,15 @@
 	// takes the shard over.
 	inGroup    atomic.Bool
 	takingOver atomic.Bool
-	// unserved is the time for which the shard has been assigned to the host, which has not
-	// taken it over or, as the owner, cannot act. steppingAside is set once the host has to leave the group for others,
-	// until it joins again, and ownedEpoch is that of the last takeover. They are used by
-	// handleAssignment and between memberships. stepAside holds the reason to leave for the
-	// loop that joins.
+	// unserved is the time for which the host has held the shard without serving it: it has
+	// not taken it over or, as the owner, cannot act. steppingAside is set from the decision
+	// to leave the group for that until the host joins again. ownedEpoch is the epoch of the
+	// last takeover. All three are used by handleAssignment and between memberships.
 	unserved      stretch
 	steppingAside bool
 	ownedEpoch    platform.Epoch
-	stepAside     chan error
+	// stepAside passes the reason to leave the group to the loop that joins.
+	stepAside chan error
 	// steppedAsideAt is when the host last had to leave the group, in nanoseconds of Clock,
 	// or zero.
 	steppedAsideAt atomic.Int64
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -27,7 +27,7 @@
 // once the dispatcher has given it up, mostly because another owner has been seen. Until
 // then the host keeps the shard, even if the group assigns it to another host or a join
 // fails. A host that does not take over a shard that it holds steps aside after
-// maxUnserved.
+// maxUnclaimed.
 func (n *Node) handleAssignment(a store.Assignment, err error) {
 	d := n.ownedDispatcher()
 	if d != nil && d.Err() != nil {
@@ -49,7 +49,7 @@
 		n.unserved.end()
 		return
 	}
-	limit, lasted := maxUnserved, n.unserved.lasts(n.Clock())
+	limit, lasted := maxUnclaimed, n.unserved.lasts(n.Clock())
 	switch {
 	case a.Epoch <= n.ownedEpoch:
 		// The store takes records under a used epoch for repetitions of earlier ones.
@@ -75,7 +75,7 @@
 )
 
 // checkServing gives the shard up once the dispatcher d has been unable to serve it for
-// maxNotServing, although the store answers the host's joins.
+// maxUnable, although the store answers the host's joins.
 func (n *Node) checkServing(d *dispatch.Dispatcher) {
 	reason := d.Unable()
 	if reason == nil || n.leaving.Load() {
@@ -83,7 +83,7 @@
 		return
 	}
 	lasted := n.unserved.lasts(n.Clock())
-	if lasted < maxNotServing {
+	if lasted < maxUnable {
 		return
 	}
 	n.unserved.end()
--- a/internal/process/node/stepaside.go
+++ b/internal/process/node/stepaside.go
@@ -17,14 +17,14 @@
 // for a while, so that the store assigns the shard to another one.
 
 const (
-	// maxUnserved is how long a host may hold the shard without taking it over. It covers
+	// maxUnclaimed is how long a host may hold the shard without taking it over. It covers
 	// two takeovers that time out.
-	maxUnserved = 2 * takeOverTimeout
-	// maxNotServing is how long an owner may be unable to act. The leases that it has granted
+	maxUnclaimed = 2 * takeOverTimeout
+	// maxUnable is how long an owner may be unable to act. The leases that it has granted
 	// are over by then, so that nothing that it could go on with is lost.
-	maxNotServing = scheduler.AuthorityBound
+	maxUnable = scheduler.AuthorityBound
 	// minStepAside is how long a host that reads the log, but cannot take over, stays out of
-	// the group. It is longer than maxUnserved, since the next host may be unable as well.
+	// the group. It is longer than maxUnclaimed, since the next host may be unable as well.
 	// The time doubles while nobody takes over, up to maxStepAside.
 	minStepAside = 6 * time.Second
 	maxStepAside = 12 * time.Second
--- a/internal/process/node/stepaside_test.go
+++ b/internal/process/node/stepaside_test.go
@@ -55,7 +55,7 @@
 			f, stores := newPartlySilentFleet(t, names...)
 			f.kill(names[1])
 			stores[names[0]].silentReads.Store(true)
-			f.awaitOwner(scheduler.AuthorityWindow+maxNotServing+4*time.Second, isLast)
+			f.awaitOwner(scheduler.AuthorityWindow+maxUnable+4*time.Second, isLast)
 			must.Eq(t, []string{names[2]}, f.watchOwners(20*time.Second))
 			must.Eq(t, 2, f.claims())
 			f.stopAll()
@@ -64,7 +64,7 @@
 			f, stores := newPartlySilentFleet(t, names...)
 			stores[names[1]].silentRecords.Store(true)
 			f.kill(names[0])
-			f.awaitOwner(maxNotServing+6*time.Second, isLast)
+			f.awaitOwner(maxUnable+6*time.Second, isLast)
 			must.Eq(t, []string{names[2]}, f.watchOwners(20*time.Second))
 			must.Eq(t, 2, f.claims())
 			f.stopAll()
@@ -84,7 +84,7 @@
 			}
 			time.Sleep(outage)
 			must.Eq(t, 1, f.claims())
-			must.Eq(t, outage < maxNotServing, f.owner() == "u")
+			must.Eq(t, outage < maxUnable, f.owner() == "u")
 			for _, s := range stores {
 				s.silentReads.Store(false)
 				s.silentAppends.Store(false)
--- a/internal/scheduler/priority.go
+++ b/internal/scheduler/priority.go
@@ -136,7 +136,7 @@
 	p.placeStep(r)
 	issued := 1 - p.startsLeft
 	p.startsLeft = left - issued
-	// The steps that this leaves untried are tried in their order.
+	// The steps that this leaves untried are tried in their order, which comes next.
 	p.cutShort = false
 	if issued > 0 {
 		p.shard.startsInOrder = 0
