--- a/internal/experiment/day/callers.go
+++ b/internal/experiment/day/callers.go
@@ -162,6 +162,9 @@
 		state, err := c.pollState()
 		if err == nil && state.Final() {
 			c.finalState, c.duration = state, c.sim.now()-submittedAt
+			if state == job.Failed {
+				c.sim.cluster.ShownFailed(c.id)
+			}
 			c.checkFinalState(state)
 			return
 		}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -119,6 +119,7 @@
 	maxFailures int
 	// acceptedAt is when the caller got the acknowledgement of the job, if accepted is set.
 	accepted    bool
+	shownFailed bool
 	acceptedAt  time.Duration
 	cancelledAt time.Duration
 	// ranOn is the longest time for which a task has run on after cancelledAt.
