Test of entries read behind: count its calls without a data race

Waking from a timer of a synctest bubble orders nothing between two goroutines. The counters are atomic now; what is checked is the same.

--- a/internal/process/node/entries_test.go
+++ b/internal/process/node/entries_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,17 +19,17 @@
 )
 
 // backlog is a registry with a number of changes that were not read yet, each of which a
-// call returns. It implements fleet.Registry.
-type backlog struct{ left, calls int }
+// call returns. It implements fleet.Registry and is safe for concurrent use.
+type backlog struct{ left, calls atomic.Int64 }
 
 // Next implements fleet.Registry.
 func (b *backlog) Next(context.Context) (fleet.Changes, error) {
-	b.calls++
-	if b.left == 0 {
+	b.calls.Add(1)
+	if b.left.Load() == 0 {
 		return fleet.Changes{More: true}, nil
 	}
-	b.left--
-	return fleet.Changes{Removed: []platform.WorkerID{platform.WorkerID(fmt.Sprint(b.left))}, More: b.left > 0}, nil
+	left := b.left.Add(-1)
+	return fleet.Changes{Removed: []platform.WorkerID{platform.WorkerID(fmt.Sprint(left))}, More: left > 0}, nil
 }
 
 // TestEntriesAreReadWithoutPauseWhileBehind: on a link that allows only small reads the
@@ -39,17 +40,18 @@
 		logger.SetOutput(io.Discard)
 		started := time.Now()
 		clock := func() time.Duration { return time.Since(started) }
-		registry := &backlog{left: 20}
+		registry := &backlog{}
+		registry.left.Store(20)
 		n := &Node{Config: Config{Logger: logger, Clock: clock, Registry: func() fleet.Registry { return registry }}}
 		n.storeHealth = newStoreHealth(logger, clock)
 		d := dispatch.New(dispatch.Config{Clock: clock, Logger: logger, Metrics: metrics.NewRegistry(), Ownership: job.Ownership{Epoch: 1, Claim: 1}})
 		ctx, cancel := context.WithCancel(t.Context())
 		go n.followWorkers(ctx, d)
 		time.Sleep(registryPollInterval / 2)
-		must.Zero(t, registry.left)
-		must.Eq(t, 20, registry.calls)
+		must.Zero(t, registry.left.Load())
+		must.Eq(t, 20, registry.calls.Load())
 		time.Sleep(10 * registryPollInterval)
-		must.Eq(t, 30, registry.calls, must.Sprint("a call that returns nothing is not repeated at once"))
+		must.Eq(t, 30, registry.calls.Load(), must.Sprint("a call that returns nothing is not repeated at once"))
 		cancel()
 		d.Abort()
 		time.Sleep(time.Minute)
