--- a/internal/experiment/day/crash_test.go
+++ b/internal/experiment/day/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -13,10 +14,13 @@
 // killed, all hosts are killed, the store is down, workers crash for other reasons and, on
 // some days, random faults come in addition.
 func TestTasksThatCrashWorkersAreGivenUp(t *testing.T) {
-	crashes := 0
+	t.Parallel()
+	var crashes atomic.Int64
+	t.Cleanup(func() { must.Positive(t, crashes.Load()) })
 	for i := range *days {
 		seed := *first + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			r := runDay(t, Plan{
 				Hosts: 3, Workers: 8, Seconds: 60, QuietSeconds: 45, JobsPerSecond: 0.7, Seed: seed,
 				CrashingShare: 0.06 + 0.02*float64(i%3), LongRunningShare: 0.1, RandomFaults: i % 4, Faults: []Fault{
@@ -29,8 +33,7 @@
 					{AtMS: 52_000, ForMS: 3_000, Kind: StoreLost, Host: AllHosts},
 				},
 			})
-			crashes += r.CrashesCaused
+			crashes.Add(int64(r.CrashesCaused))
 		})
 	}
-	must.Positive(t, crashes)
 }
--- a/internal/experiment/day/day_test.go
+++ b/internal/experiment/day/day_test.go
@@ -64,6 +64,7 @@
 }
 
 func TestDayWithoutFaults(t *testing.T) {
+	t.Parallel()
 	r := runDay(t, Plan{Hosts: 3, Workers: 12, Seconds: 10, QuietSeconds: 20, JobsPerSecond: 4, Seed: 1})
 	must.Eq(t, r.Jobs, r.Accepted)
 }
@@ -72,6 +73,7 @@
 // across owner changes: the owner is killed during one wave and stopped during
 // another, and the next owner continues from the recorded state.
 func TestUpkeepWave(t *testing.T) {
+	t.Parallel()
 	runDay(t, Plan{
 		Hosts: 3, Workers: 12, Seconds: 20, QuietSeconds: 30, JobsPerSecond: 4, Seed: 4, Faults: []Fault{
 			{AtMS: 1000, Kind: UpkeepWave, Worker: 3},
@@ -84,6 +86,7 @@
 
 // TestDrainAllWorkers drains and replaces all workers one after the other.
 func TestDrainAllWorkers(t *testing.T) {
+	t.Parallel()
 	p := Plan{Hosts: 3, Workers: 6, Seconds: 20, QuietSeconds: 30, JobsPerSecond: 6, Seed: 6}
 	for i := range 6 {
 		p.Faults = append(p.Faults, Fault{AtMS: int64(1000 + 2500*i), ForMS: 2000, Kind: DrainWorker, Worker: i})
@@ -98,9 +101,11 @@
 )
 
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	for i := range *days {
 		seed := *first + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			runDay(t, Plan{
 				Hosts: 4, Workers: 12, Seconds: 20, QuietSeconds: 45, JobsPerSecond: 4,
 				RandomFaults: 4 + i%6, Seed: seed,
@@ -112,9 +117,11 @@
 // TestRandomFaultsNarrowHosts guards against guarantees that are violated while narrow
 // hosts hand the shard to wide ones and take it over from them, or own it alone.
 func TestRandomFaultsNarrowHosts(t *testing.T) {
+	t.Parallel()
 	for i := range *days {
 		seed := *first + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			runDay(t, Plan{
 				Hosts: 4, NarrowHosts: 2 + i%3, Workers: 12, Seconds: 20, QuietSeconds: 45, JobsPerSecond: 4,
 				RandomFaults: 4 + i%6, Seed: seed,
@@ -126,6 +133,7 @@
 // TestCapacityChanges guards against starts on capacities that workers no longer have, and
 // against work that is lost when they shrink below what runs.
 func TestCapacityChanges(t *testing.T) {
+	t.Parallel()
 	p := Plan{Hosts: 3, Workers: 12, Seconds: 20, QuietSeconds: 90, JobsPerSecond: 20, LongRunningShare: 0.2, Seed: 8}
 	for i := range int64(4) {
 		p.Faults = append(p.Faults,
@@ -138,8 +146,10 @@
 // TestCapacityChangesWhileStoreIsAway: an owner without access to the store started tasks on
 // the capacities that it had read seconds before.
 func TestCapacityChangesWhileStoreIsAway(t *testing.T) {
+	t.Parallel()
 	for _, kind := range []Kind{StoreDown, StoreBusy} {
 		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
 			runDay(t, Plan{
 				Hosts: 3, Workers: 12, Seconds: 16, QuietSeconds: 120, JobsPerSecond: 20, LongRunningShare: 0.2, Seed: 1,
 				Faults: []Fault{
@@ -156,9 +166,11 @@
 // workers are nearly full, and their capacities change while hosts, the store and workers
 // fail.
 func TestRandomReductions(t *testing.T) {
+	t.Parallel()
 	for i := range (*days + 5) / 6 {
 		seed := *first + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			runDay(t, Plan{
 				Hosts: 4, Workers: 12, Seconds: 20, QuietSeconds: 120, JobsPerSecond: 18, LongRunningShare: 0.2,
 				Faults:       []Fault{{ForMS: 1000, Kind: ShrinkWorker, CapacityPercent: 90}},
--- a/internal/experiment/day/narrow_test.go
+++ b/internal/experiment/day/narrow_test.go
@@ -15,8 +15,10 @@
 // TestOwnerWithFullLinkKeepsGuarantees: the owner's link carries fewer start orders than
 // the callers' jobs ask for.
 func TestOwnerWithFullLinkKeepsGuarantees(t *testing.T) {
+	t.Parallel()
 	for _, kbPerSecond := range []float64{200, 100} {
 		t.Run(fmt.Sprint(kbPerSecond), func(t *testing.T) {
+			t.Parallel()
 			r := runDay(t, fullLinkPlan(kbPerSecond))
 			must.LessEq(t, maxRanOn, r.RanOn)
 		})
@@ -33,6 +35,7 @@
 // TestNoTaskStarvesOnFullLink: long-running tasks waited behind batch tasks while the
 // owner's link limited the starts.
 func TestNoTaskStarvesOnFullLink(t *testing.T) {
+	t.Parallel()
 	r := playDay(t, fullLinkPlan(200))
 	must.SliceEmpty(t, r.Waiting)
 }
@@ -40,6 +43,7 @@
 // TestNoTaskStarvesOnOverloadedLink: the owner's link carries half of the start orders that
 // jobs need.
 func TestNoTaskStarvesOnOverloadedLink(t *testing.T) {
+	t.Parallel()
 	r := playDay(t, fullLinkPlan(100))
 	must.SliceEmpty(t, r.Waiting)
 }
