Let a worker that accepts starts again take more than one task

What callers saw: after start orders to a worker had failed for a moment, because its connections were refused or its capacity was not free yet, it got one batch task at a time. If the next task was a long one, other jobs waited beside free capacity until it was done, on a service of which all workers were set aside for longer than the 3 s allowed.

Cause: three refusals in a row put a worker on probation, as failed or stalled tasks do, and probation ended with the next task that was done. For refused starts the proof is an accepted one.

Change: probation for refusals alone ends with the next accepted start. Probation for failed tasks, stalled tasks or a refusal for the worker's own health ends as before, also if both came.

--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -15,8 +15,9 @@
 	// set aside.
 	asideUntil Instant
 	asideFor   time.Duration
-	// probing is set while the worker gets one task at a time.
-	probing bool
+	// probing is set while the worker gets one task at a time. untilAccepted is set if it
+	// does so only because start orders were refused, so that an accepted one ends it.
+	probing, untilAccepted bool
 	// refusals counts the start orders that were refused since one was accepted, those that
 	// were under way together as one. refusedAt is when the last one was refused.
 	refusals  int
@@ -46,7 +47,7 @@
 // recordSuccess records that a task finished on the worker.
 func (h *health) recordSuccess() {
 	clear(h.failedJobs)
-	h.probing, h.asideFor, h.asideUntil = false, 0, 0
+	h.probing, h.untilAccepted, h.asideFor, h.asideUntil = false, false, 0, 0
 }
 
 // recordFailure records that a task failed on the worker, and reports whether the
@@ -75,15 +76,23 @@
 	if now < h.asideUntil || !unhealthy && h.refusals < maxRefusals {
 		return false
 	}
+	untilAccepted := !unhealthy && (!h.probing || h.untilAccepted)
 	h.setAside(now)
+	h.untilAccepted = untilAccepted
 	return true
 }
 
 // recordAcceptance records that the worker has accepted a start order.
-func (h *health) recordAcceptance() { h.refusals = 0 }
+func (h *health) recordAcceptance() {
+	h.refusals = 0
+	if h.untilAccepted {
+		h.probing, h.untilAccepted, h.asideFor = false, false, 0
+	}
+}
 
 // setAside keeps new tasks off the worker, with exponential backoff.
 func (h *health) setAside(now Instant) {
+	h.untilAccepted = false
 	if now < h.asideUntil {
 		return
 	}
--- a/internal/scheduler/health_test.go
+++ b/internal/scheduler/health_test.go
@@ -129,3 +129,20 @@
 	h.checkViolations()
 	must.Eq(t, job.Done, h.state(id))
 }
+
+// TestWorkerThatAcceptsAgainGetsMoreThanOneTask: a worker that no start had reached for a moment
+// got one task at a time until that task was done, and others waited beside free capacity.
+func TestWorkerThatAcceptsAgainGetsMoreThanOneTask(t *testing.T) {
+	h := newHarness(t, 1)
+	h.run(500 * time.Millisecond)
+	h.refusesConnections = "w00"
+	long := h.submit(firstID, fixedLength(20), nil, batchStep(1))
+	h.run(400 * time.Millisecond)
+	h.refusesConnections = ""
+	h.run(4 * time.Second)
+	must.SliceLen(t, 1, h.workersOf(job.TaskRef{Job: long}))
+	second := h.submit(secondID, fixedLength(2), nil, batchStep(1))
+	h.run(time.Second)
+	must.SliceLen(t, 1, h.workersOf(job.TaskRef{Job: second}))
+	h.checkViolations()
+}
