Leave the shard to others while the store takes no records of the owner

What callers saw: an owner whose joins and reads the store answered, but whose appends it refused or did not answer, kept the shard for ever. Its tasks ended, and no end was recorded, acknowledged or shown. New jobs had to be written by the host that took them. Where the store refused the appends, no line was logged either.

Cause: Dispatcher.Unable asked whether the owner may start tasks, never whether it can record their ends, and a refused append was repeated without a count.

Change: an owner whose records wait for maxUnable, after an append that failed and without one that succeeded since, offers the shard: it leaves the group and goes on as the owner until another host has taken over, since its tasks would lose their leases. If nobody does within minStepAside it joins again and repeats the offer after maxUnable (event 7213), so that a lone host, or an outage of appends for all hosts, loses nothing. One success, or nothing left to record, ends the count; a full store and a rejected record do not begin it. While it offers the shard it does not tell standby hosts that it owns it. The first append that fails is logged (7205), also if it was refused.

Evidence: TestOwnerThatCannotRecordLeavesShardToOthers, with silent and refused appends, with wide and narrow hosts.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -71,6 +71,8 @@
 	stopping atomic.Bool
 	// claimed is set once the ownership record is in the log.
 	claimed atomic.Bool
+	// unrecorded is set while records wait that the store has refused or not answered.
+	unrecorded atomic.Bool
 	// waitingGauges are the gauges of waiting tasks, by priority. Only planLoop uses them.
 	waitingGauges map[int]metrics.Gauge
 	// learnedRecordedAt is when the learned state was last recorded, lastExpiryAt when
@@ -332,9 +334,12 @@
 	errNotConfirmed = errors.New("the ownership is not confirmed")
 	errIsolated     = errors.New("nearly no worker answers")
 	errStaleEntries = errors.New("the workers' entries are too old")
+	// ErrUnrecorded does not keep the owner from acting.
+	ErrUnrecorded = errors.New("the store takes no records")
 )
 
-// Unable returns why the host cannot start tasks as the shard's owner, or nil if it can.
+// Unable returns why the host cannot start tasks as the shard's owner or record their ends,
+// or nil if it can.
 func (d *Dispatcher) Unable() error {
 	switch {
 	case !d.claimed.Load():
@@ -350,6 +355,8 @@
 		return errIsolated
 	case !d.shard.CapacitiesKnown(now):
 		return errStaleEntries
+	case d.unrecorded.Load():
+		return ErrUnrecorded
 	}
 	return nil
 }
--- a/internal/process/dispatch/record.go
+++ b/internal/process/dispatch/record.go
@@ -147,6 +147,7 @@
 func (d *Dispatcher) recordProgress(w *store.Writer) {
 	b := d.collectBatch()
 	if len(b.records) == 0 {
+		d.unrecorded.Store(false)
 		return
 	}
 	started := d.Clock()
@@ -272,28 +273,40 @@
 // sequence number, so that nothing is written twice.
 func (d *Dispatcher) appendRecords(w *store.Writer, records []store.Record) error {
 	outcomeUnknown := false
-	for attempt := 0; ; attempt++ {
+	for {
 		_, err := d.Store.Append(d.ctx, d.Partition, records, w)
 		var fenced *store.FencedError
 		var sequence *store.SequenceError
 		switch {
 		case err == nil:
 			w.Sequence++
+			d.unrecorded.Store(false)
 			return nil
 		case errors.As(err, &fenced):
 			return errors.Join(ErrFenced, err)
 		case errors.As(err, &sequence):
 			return err
-		case errors.Is(err, store.ErrUnavailable) && !outcomeUnknown, errors.Is(err, store.ErrRejected):
+		case errors.Is(err, store.ErrRejected):
 			// An earlier try without an answer was rejected as well.
 			return err
 		}
-		outcomeUnknown = true
-		if attempt == 0 && d.ctx.Err() == nil {
-			event.RecordDelayed.Log(d.Logger, logrus.Fields{"records": len(records), "error": err})
+		d.reportUnrecorded(len(records), err)
+		if errors.Is(err, store.ErrUnavailable) && !outcomeUnknown {
+			return err
 		}
+		outcomeUnknown = true
 		if err := pause.For(d.ctx, recordRetryDelay); err != nil {
 			return err
 		}
 	}
 }
+
+// reportUnrecorded reports that the store has refused an append or not answered it. That the
+// store is full is no reason to leave the shard to another host.
+func (d *Dispatcher) reportUnrecorded(records int, err error) {
+	if d.ctx.Err() != nil || d.unrecorded.Load() {
+		return
+	}
+	event.RecordDelayed.Log(d.Logger, logrus.Fields{"records": records, "error": err})
+	d.unrecorded.Store(!errors.Is(err, store.ErrFull))
+}
--- a/internal/process/event/job.go
+++ b/internal/process/event/job.go
@@ -36,6 +36,7 @@
 	StandbyJoined     = declare(7210, logrus.InfoLevel, "standby host joins: no live owner")
 	HandBackFailed    = declare(7211, logrus.WarnLevel, "shard not handed to a preferred host")
 	SteppedAside      = declare(7212, logrus.WarnLevel, "host leaves the shard to others")
+	ShardNotTaken     = declare(7213, logrus.WarnLevel, "no host takes the shard over")
 	RecordNotEncoded  = declare(7204, logrus.ErrorLevel, "record not encoded")
 	RecordDelayed     = declare(7205, logrus.WarnLevel, "record delayed")
 	RecordUnreadable  = declare(7206, logrus.WarnLevel, "record unreadable")
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -136,6 +136,8 @@
 	// steppedAsideAt is when the host last had to leave the group, in nanoseconds of Clock,
 	// or zero.
 	steppedAsideAt atomic.Int64
+	// offering is set while the host, still the owner, leaves the shard to others.
+	offering atomic.Bool
 	// handBackAt is the time of the last attempt to hand the shard to a preferred host,
 	// used by runStandby only.
 	handBackAt time.Duration
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -75,7 +75,8 @@
 )
 
 // checkServing gives the shard up once the dispatcher d has been unable to serve it for
-// maxUnable, although the store answers the host's joins.
+// maxUnable, although the store answers the host's joins. An owner that can only not record
+// goes on until another host has taken over: its tasks would lose their leases.
 func (n *Node) checkServing(d *dispatch.Dispatcher) {
 	reason := d.Unable()
 	if reason == nil || n.leaving.Load() {
@@ -87,8 +88,10 @@
 		return
 	}
 	n.unserved.end()
-	d.Relinquish(reason)
-	n.dropShard(d)
+	if !errors.Is(reason, dispatch.ErrUnrecorded) {
+		d.Relinquish(reason)
+		n.dropShard(d)
+	}
 	n.requestStepAside(lasted, reason)
 }
 
--- a/internal/process/node/standby.go
+++ b/internal/process/node/standby.go
@@ -209,6 +209,10 @@
 		_ = pause.For(ctx, standbyPollInterval)
 		if reason, asked := n.takeStepAside(); asked {
 			stop()
+			if n.continuesAsOwner(ctx, reason) {
+				stop = n.startMembership(ctx)
+				continue
+			}
 			n.leaveGroupTemporarily(ctx)
 			if n.readsLog() && !errors.Is(reason, errEpochUsed) {
 				n.observeFor(ctx, minStepAside)
@@ -276,24 +280,36 @@
 	return err
 }
 
-// handBack leaves the group and continues as the owner until another host has taken
-// over. It returns false if none has within handBackTimeout, or ctx is done.
+// handBack hands the shard to a preferred host. It returns false if none has taken over
+// within handBackTimeout, or ctx is done.
 func (n *Node) handBack(ctx context.Context, to platform.HostID) bool {
 	d := n.ownedDispatcher()
 	if d == nil {
 		return true
 	}
+	started := n.Clock()
+	gone, err := n.offerShard(ctx, d, handBackTimeout)
+	switch {
+	case gone && errors.Is(err, dispatch.ErrFenced):
+		event.ShardHandedBack.Log(n.Logger, logrus.Fields{"epoch": d.Ownership.Epoch, "to": to, "took_ms": (n.Clock() - started).Milliseconds()})
+	case !gone && ctx.Err() == nil:
+		event.HandBackFailed.Log(n.Logger, logrus.Fields{"epoch": d.Ownership.Epoch, "to": to, "error": err})
+	}
+	return gone
+}
+
+// offerShard leaves the group and continues as the owner, by the dispatcher d, until another
+// host has taken over. It then releases the shard and returns true and why d gave it up. If
+// no host takes over within the limit, or ctx is done, the host remains the owner, and the
+// error is that of the request to leave, or nil.
+func (n *Node) offerShard(ctx context.Context, d *dispatch.Dispatcher, limit time.Duration) (gone bool, err error) {
 	defer n.startObserving(ctx)()
 	started := n.Clock()
 	leaveErr := n.leaveMember(ctx)
-	for ctx.Err() == nil && n.Clock()-started < handBackTimeout {
+	for ctx.Err() == nil && n.Clock()-started < limit {
 		if err := d.Err(); err != nil {
-			fields := logrus.Fields{"epoch": d.Ownership.Epoch, "to": to, "took_ms": (n.Clock() - started).Milliseconds()}
 			n.dropShard(d)
-			if errors.Is(err, dispatch.ErrFenced) {
-				event.ShardHandedBack.Log(n.Logger, fields)
-			}
-			return true
+			return true, err
 		}
 		if leaveErr != nil {
 			leaveErr = n.leaveMember(ctx)
@@ -301,10 +317,9 @@
 		_ = pause.For(ctx, handOverPollInterval)
 	}
 	if ctx.Err() == nil {
-		event.HandBackFailed.Log(n.Logger, logrus.Fields{"epoch": d.Ownership.Epoch, "to": to, "error": leaveErr})
 		n.inGroup.Store(true)
 	}
-	return false
+	return false, leaveErr
 }
 
 // watchOwner asks the recorded owner whether it is alive, one call at a time, until
@@ -374,9 +389,9 @@
 	return errors.As(err, &answer) && strings.Contains(string(answer), "can't find method")
 }
 
-// OwningReply is the reply of Service.Owning. Owns is set if the host owns the shard
-// and has not begun to stop. StoreAge is the time since the latest answered join of the
-// host was sent.
+// OwningReply is the reply of Service.Owning. Owns is set if the host owns the shard and has
+// begun neither to stop nor to leave the shard to others. StoreAge is the time since the
+// latest answered join of the host was sent.
 type OwningReply struct {
 	Owns     bool
 	StoreAge time.Duration
@@ -385,7 +400,7 @@
 // Owning tells a standby host whether this host is a live owner.
 func (s *Service) Owning(_ Empty, reply *OwningReply) error {
 	d := s.node.ownedDispatcher()
-	reply.Owns = d != nil && d.Err() == nil && !s.node.leaving.Load()
+	reply.Owns = d != nil && d.Err() == nil && !s.node.leaving.Load() && !s.node.offering.Load()
 	reply.StoreAge = s.node.storeAge()
 	return nil
 }
--- a/internal/process/node/stepaside.go
+++ b/internal/process/node/stepaside.go
@@ -63,6 +63,23 @@
 	}
 }
 
+// continuesAsOwner offers the shard to others if the host, which has to leave the group for
+// the given reason, still owns it. It reports whether no other host has taken over: the
+// reason may hold for all of them.
+func (n *Node) continuesAsOwner(ctx context.Context, reason error) bool {
+	d := n.ownedDispatcher()
+	if d == nil || ctx.Err() != nil {
+		return false
+	}
+	n.offering.Store(true)
+	defer n.offering.Store(false)
+	gone, err := n.offerShard(ctx, d, minStepAside)
+	if !gone && ctx.Err() == nil {
+		event.ShardNotTaken.Log(n.Logger, logrus.Fields{"epoch": d.Ownership.Epoch, "reason": reason, "error": err})
+	}
+	return !gone
+}
+
 // steppedAside reports whether the host has stepped aside within offerPause.
 func (n *Node) steppedAside() bool {
 	at := n.steppedAsideAt.Load()
@@ -104,6 +121,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if n.continuesAsOwner(ctx, reason) {
+			continue
+		}
 		n.leaveGroupTemporarily(ctx)
 		if n.table.Owner().Claim != claim {
 			aside = minStepAside
--- a/internal/process/node/stepaside_test.go
+++ b/internal/process/node/stepaside_test.go
@@ -12,13 +12,15 @@
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/store"
 	"github.com/siskinvane/siskinvane/internal/scheduler"
+	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
 // partlySilentStore is a store that answers joins, and no reads or appends of the shard's
-// partition while they are silent; silentRecords are the appends that contain records.
+// partition while they are silent; silentRecords are the appends that contain records. It
+// refuses all appends while refusedAppends is set.
 type partlySilentStore struct {
 	store.Store
-	silentReads, silentAppends, silentRecords atomic.Bool
+	silentReads, silentAppends, silentRecords, refusedAppends atomic.Bool
 }
 
 // silence waits as long as a call does that gets no answer.
@@ -43,6 +45,9 @@
 	if s.silentAppends.Load() || s.silentRecords.Load() && len(records) > 0 {
 		return 0, silence(ctx)
 	}
+	if s.refusedAppends.Load() {
+		return 0, store.ErrUnavailable
+	}
 	return s.Store.Append(ctx, p, records, w)
 }
 
@@ -72,6 +77,78 @@
 	}
 }
 
+// failingAppends are the ways in which a store takes no records of a host whose joins it
+// answers.
+var failingAppends = map[string]func(*partlySilentStore) *atomic.Bool{
+	"silent":  func(s *partlySilentStore) *atomic.Bool { return &s.silentAppends },
+	"refused": func(s *partlySilentStore) *atomic.Bool { return &s.refusedAppends },
+}
+
+// cancelJob submits a job and cancels it through the host, so that the owner has an end to
+// record.
+func cancelJob(t *testing.T, n *Node, id job.ID, beforeCancel func()) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	must.NoError(t, n.Submit(ctx, id, submission()))
+	beforeCancel()
+	must.NoError(t, n.Cancel(ctx, id))
+}
+
+// TestOwnerThatCannotRecordLeavesShardToOthers: the store answered the joins and reads of the
+// owner, but not its appends, or refused them. It kept the shard and recorded no end.
+func TestOwnerThatCannotRecordLeavesShardToOthers(t *testing.T) {
+	for kind, fault := range failingAppends {
+		for _, names := range [][]string{{"u", "v", "w"}, {"a", "b", "c"}} {
+			t.Run(kind+" "+names[0], func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f, stores := newPartlySilentFleet(t, names...)
+					cancelJob(t, f.nodes[names[1]], oldJob(0), func() { fault(stores[names[0]]).Store(true) })
+					f.awaitOwner(maxUnable+10*time.Second, func(owner string) bool { return owner != "" && owner != names[0] })
+					must.Eq(t, []string{f.owner()}, f.watchOwners(40*time.Second))
+					must.Eq(t, 2, f.claims())
+					progress, known := f.nodes[names[2]].table.Get(oldJob(0))
+					must.True(t, known)
+					must.Eq(t, job.Cancelled, progress.Progress.State)
+					f.stopAll()
+				})
+			})
+		}
+	}
+}
+
+// TestOutageOfAppendsKeepsShardInPlace guards against a shard that goes from host to host
+// because appends fail now and then, or for all hosts.
+func TestOutageOfAppendsKeepsShardInPlace(t *testing.T) {
+	for kind, fault := range failingAppends {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, stores := newPartlySilentFleet(t, "u", "v", "w")
+				failing := func(fails bool) {
+					for _, s := range stores {
+						fault(s).Store(fails)
+					}
+				}
+				for i := range 4 {
+					cancelJob(t, f.nodes["v"], oldJob(i), func() { fault(stores["u"]).Store(true) })
+					must.Eq(t, []string{"u"}, f.watchOwners(maxUnable/2))
+					failing(false)
+					must.Eq(t, []string{"u"}, f.watchOwners(3*time.Second))
+				}
+				must.Eq(t, 1, f.claims())
+				cancelJob(t, f.nodes["v"], newJob(0), func() { fault(stores["u"]).Store(true) })
+				failing(true)
+				must.Eq(t, []string{"u"}, f.watchOwners(time.Minute))
+				failing(false)
+				time.Sleep(handBackTimeout)
+				must.Eq(t, []string{f.owner()}, f.watchOwners(30*time.Second))
+				must.LessEq(t, 2, f.claims())
+				f.stopAll()
+			})
+		})
+	}
+}
+
 // TestOwnerOutlastsSilentPartition guards against an owner that gives the shard up during an
 // outage that it could bridge, and against a shard that then goes from host to host.
 func TestOwnerOutlastsSilentPartition(t *testing.T) {
