Keep the progress record of a job below the store's limit for a record

What callers saw: none was seen to; found by reading. The progress of a job with many stopped tasks holds a checkpoint for each. Above the store's limit for a record the append was rejected, and repeated for ever together with the records of all other jobs: nothing ended any more.

Cause: nothing bounded a progress record.

Change: checkpoints that do not fit into 192 KB are left out of the record, those of the last tasks first. They stay in the owner's memory; under a later owner these tasks start from the beginning, which the platform allows. Nothing that counts for a promise is left out.

TestLargeProgressBlocksNoOtherRecords: without the change a caller's record is rejected with the job's progress; with it it is written.

Not bounded: failed attempts, crashes and done tasks, which must not be lost. A record that is too large with these alone is still rejected.

--- a/internal/process/dispatch/write_test.go
+++ b/internal/process/dispatch/write_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"os"
 	"slices"
@@ -26,8 +27,12 @@
 	os.Exit(m.Run())
 }
 
+// maxRecordBytes is the largest record that a faultyStore takes.
+const maxRecordBytes = 256 << 10
+
 // faultyStore is a store whose appends fail while unavailable is set, or end without a
 // known outcome while unresponsive is set. Appends that contain refusedKey always fail.
+// Appends that contain a record of more than maxRecordBytes are rejected.
 type faultyStore struct {
 	store.Store
 	unavailable, unresponsive atomic.Bool
@@ -37,7 +42,10 @@
 // Append implements store.Store.
 func (s *faultyStore) Append(ctx context.Context, _ store.Partition, records []store.Record, _ *store.Writer) (platform.Offset, error) {
 	refused := slices.ContainsFunc(records, func(r store.Record) bool { return r.Key == s.refusedKey })
+	tooLarge := slices.ContainsFunc(records, func(r store.Record) bool { return len(r.Value) > maxRecordBytes })
 	switch {
+	case tooLarge:
+		return 0, store.ErrRejected
 	case s.unavailable.Load() || refused:
 		return 0, store.ErrUnavailable
 	case s.unresponsive.Load():
@@ -149,3 +157,22 @@
 	must.NoError(t, writeErr)
 	must.True(t, inTime)
 }
+
+// TestLargeProgressBlocksNoOtherRecords: the progress of a job with many stopped tasks was
+// rejected by the store, again and again, and with it the records of all other jobs.
+func TestLargeProgressBlocksNoOtherRecords(t *testing.T) {
+	withDispatcher(t, &faultyStore{}, func(d *Dispatcher) {
+		large := job.Entry{ID: "00000000000000a1", Submission: &job.Submission{
+			MaxFailures: 1, TargetMS: 1000, Spec: job.Spec{Steps: []job.Step{{Tasks: 10_000}, {Tasks: 10_000}}},
+		}}
+		large.Progress = job.Progress{State: job.Running, Checkpoints: map[int]string{}}
+		for i := range 20_000 {
+			large.Progress.Checkpoints[i] = fmt.Sprintf("%016x", i)
+		}
+		d.AddJobs([]job.Entry{large})
+		large.Cancelled = true
+		d.AddJobs([]job.Entry{large})
+		_, err := d.timedWrite(time.Second)
+		must.NoError(t, err)
+	})
+}
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/bits"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -212,9 +214,29 @@
 	return s, nil
 }
 
-// ProgressRecord returns the progress record of a job.
+// MaxProgressBytes is the size of a progress record above which checkpoints are left out. It
+// is below the store's limit for a record.
+const MaxProgressBytes = 192 << 10
+
+// ProgressRecord returns the progress record of a job. Checkpoints that do not fit into it
+// are left out: under a later owner, their tasks start from the beginning.
 func ProgressRecord(id ID, p *Progress) (store.Record, error) {
-	return encodeRecord(progressKey+string(id), p)
+	key := progressKey + string(id)
+	r, err := encodeRecord(key, p)
+	if err != nil || len(r.Value) <= MaxProgressBytes {
+		return r, err
+	}
+	shortened := *p
+	shortened.Checkpoints = maps.Clone(p.Checkpoints)
+	excess := len(r.Value) - MaxProgressBytes
+	for _, number := range slices.Backward(slices.Sorted(maps.Keys(p.Checkpoints))) {
+		if excess <= 0 {
+			break
+		}
+		excess -= len(p.Checkpoints[number])
+		delete(shortened.Checkpoints, number)
+	}
+	return encodeRecord(key, &shortened)
 }
 
 // CancellationRecord returns the record that cancels a job.
--- a/internal/scheduler/job/record_test.go
+++ b/internal/scheduler/job/record_test.go
@@ -1,6 +1,7 @@
 package job_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -84,3 +85,30 @@
 		}
 	})
 }
+
+// TestProgressRecordStaysWritable: the progress of a job with many stopped tasks exceeded the
+// store's limit for a record and was refused without end.
+func TestProgressRecordStaysWritable(t *testing.T) {
+	const tasks = 20_000
+	p := job.Progress{State: job.Running, Failures: map[int]job.Attempts{7: {1, 2}}, Checkpoints: map[int]string{}}
+	for i := range tasks {
+		p.Done.Add(tasks + i)
+		p.Checkpoints[i] = fmt.Sprintf("%016x", i)
+	}
+	for _, state := range []job.State{job.Running, job.Cancelled} {
+		p.State = state
+		r, err := job.ProgressRecord(jobID, &p)
+		must.NoError(t, err)
+		must.LessEq(t, job.MaxProgressBytes, len(r.Value))
+		must.MapLen(t, tasks, p.Checkpoints)
+		var recorded job.Progress
+		must.NoError(t, cbor.Unmarshal(r.Value, &recorded))
+		must.Eq(t, p.State, recorded.State)
+		must.Eq(t, p.Done, recorded.Done)
+		must.Eq(t, p.Failures, recorded.Failures)
+		must.Greater(t, job.MaxProgressBytes/40, len(recorded.Checkpoints))
+		for i, checkpoint := range recorded.Checkpoints {
+			must.Eq(t, p.Checkpoints[i], checkpoint)
+		}
+	}
+}
