Give the shard up when no entries of workers could ever be read

What callers saw: nothing started after a change of owners, although other hosts could read the workers' entries.

Cause: an owner that could read none knows no workers, so none is unreachable, and their capacities have never been seen to change: each check of whether it can act found nothing wrong, for ever.

Change: an owner that has read no entries counts as unable to act, and leaves the shard after maxUnable, as with entries that are too old.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -71,6 +71,8 @@
 	stopping atomic.Bool
 	// claimed is set once the ownership record is in the log.
 	claimed atomic.Bool
+	// entriesSeen is set once workers' entries could be read.
+	entriesSeen atomic.Bool
 	// unrecorded is set while records wait that the store has refused or not answered.
 	unrecorded atomic.Bool
 	// waitingGauges are the gauges of waiting tasks, by priority. Only planLoop uses them.
@@ -298,6 +300,7 @@
 			s.EntriesRead(requested)
 		}
 	})
+	d.entriesSeen.Store(true)
 }
 
 // SetCordoned sets the workers that get no new tasks and from which tasks are moved
@@ -332,6 +335,7 @@
 var (
 	errNotClaimed   = errors.New("the ownership is not recorded")
 	errNotConfirmed = errors.New("the ownership is not confirmed")
+	errNoEntries    = errors.New("no entries of workers could be read")
 	errIsolated     = errors.New("nearly no worker answers")
 	errStaleEntries = errors.New("the workers' entries are too old")
 	// ErrUnrecorded does not keep the owner from acting.
@@ -346,6 +350,8 @@
 		return errNotClaimed
 	case !d.MayAct():
 		return errNotConfirmed
+	case !d.entriesSeen.Load():
+		return errNoEntries
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/process/node/entries_test.go
+++ b/internal/process/node/entries_test.go
@@ -57,3 +57,26 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// silentRegistry is a registry that does not answer. It implements fleet.Registry.
+type silentRegistry struct{}
+
+// Next implements fleet.Registry.
+func (silentRegistry) Next(ctx context.Context) (fleet.Changes, error) {
+	return fleet.Changes{}, silence(ctx)
+}
+
+// TestOwnerThatNeverReadEntriesLeavesShardToOthers: a new owner could read no workers' entries,
+// kept the shard and started nothing.
+func TestOwnerThatNeverReadEntriesLeavesShardToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := newPartlySilentFleet(t, "u", "v", "w")
+		f.nodes["v"].Registry = func() fleet.Registry { return silentRegistry{} }
+		f.kill("u")
+		f.awaitOwner(10*time.Second, func(owner string) bool { return owner == "v" })
+		f.awaitOwner(maxUnable+6*time.Second, func(owner string) bool { return owner == "w" })
+		must.Eq(t, []string{"w"}, f.watchOwners(20*time.Second))
+		must.Eq(t, 3, f.claims())
+		f.stopAll()
+	})
+}
