Record no planned leave of a worker as a possible crash

What callers saw: a job that could be done was shown as failed after one real crash, since a planned leave counted as another.

Cause: an owner does not count the loss of a worker that drains or is emptied for upkeep, but it recorded the attempts there as lost all the same, and the next owner counted them.

Change: the two use one condition; the record leaves such workers out.

Evidence: TestPlannedLeaveIsNoCrashForNextOwner fails without it (one crash counted, none expected) and passes with it.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -141,11 +141,17 @@
 	s.journal.enroll(w)
 }
 
+// mayLeave reports whether a worker that is silent at the given time may have left as
+// planned, which counts as no crash.
+func (w *workerState) mayLeave(at Instant) bool {
+	return w.info.Draining || w.cordonedAt != 0 && at < w.cordonedAt+upkeepDelay
+}
+
 // takeLost returns the attempts to be recorded as lost: those of a worker that does not
-// answer.
+// answer and was not to leave.
 func (w *workerState) takeLost() []job.LostAttempt {
 	w.lossRecorded = false
-	if !w.unresponsive() {
+	if !w.unresponsive() || w.mayLeave(w.heardAt) {
 		return nil
 	}
 	var list []job.LostAttempt
@@ -244,11 +250,11 @@
 }
 
 // suspectCrash counts the loss of an attempt as a crash if its worker's run is over or
-// silent. A worker that was to leave does not count.
+// silent.
 func (s *Shard) suspectCrash(now Instant, a *attempt) {
 	w := a.worker
 	over := w.gone || a.run != w.run
-	if !a.mayRun() || w.info.Draining || w.cordonedAt != 0 && now < w.cordonedAt+upkeepDelay || !over && !w.unresponsive() {
+	if !a.mayRun() || w.mayLeave(now) || !over && !w.unresponsive() {
 		return
 	}
 	key, lost := workerRun{w.info.ID, a.run}, a.lost(w.lastRun.heardAt)
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -292,3 +292,29 @@
 	must.MapLen(t, 0, h.log[id].Crashes)
 	h.checkViolations()
 }
+
+// TestPlannedLeaveIsNoCrashForNextOwner: a draining worker left with a task on it, and the next
+// owner counted that as a crash under the task.
+func TestPlannedLeaveIsNoCrashForNextOwner(t *testing.T) {
+	h := newHarness(t, 1)
+	h.run(500 * time.Millisecond)
+	step := batchStep(1)
+	step.Checkpointing = false
+	id := h.submit(firstID, fixedLength(12), nil, step)
+	h.run(2 * time.Second)
+	draining := h.cluster.Entry("w00")
+	draining.Draining, draining.Remaining = true, time.Second
+	h.shard.SetWorker(h.now, draining)
+	h.run(time.Second)
+	must.SliceLen(t, 1, h.workersOf(job.TaskRef{Job: id}))
+	h.cluster.LoseMachine("w00")
+	h.run(2 * tickInterval)
+	h.takeOver(false)
+	next := workerInfo(0)
+	next.ID = "w07"
+	h.cluster.AddWorker(h.now, next)
+	h.shard.SetWorker(h.now, next)
+	h.run(5 * time.Second)
+	must.MapLen(t, 0, h.log[id].Crashes)
+	h.checkViolations()
+}
