Count the crashes of long-running tasks that come some seconds after the start

What callers saw: a long-running task that crashed each worker 0.6 s or 5 s after its start was started without end (BUDGET), and took all that ran beside it with it.

Cause: long-running tasks outlive many workers, so a crash counted for them only if it came before the task had settled, which is 0.4 s after the start.

Change: the record of a silent worker says for how long each attempt had run, and a crash is left out for a long-running task that had run for 10 s. It counts like that of a batch task that had settled: the task is given up at the fourth.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -23,6 +23,9 @@
 	// settleTime is how long an attempt has to run before it counts as an unlikely cause
 	// of a crash.
 	settleTime = 400 * time.Millisecond
+	// longRunningSettleTime is how long an attempt of a long-running task has to run before a
+	// crash of its worker does not count, since such tasks outlive many workers.
+	longRunningSettleTime = 10 * time.Second
 	// isolationPatience is how long a suspect waits for a worker on which no other task
 	// has just started. On a busy service there may be none.
 	isolationPatience = time.Second
@@ -93,9 +96,12 @@
 // start order without an answer was probably on its way when another attempt was the cause,
 // unless its task is a suspect.
 func isLikelyCause(a job.LostAttempt, suspect bool) bool {
-	return !a.Settled && (a.Started || suspect)
+	return !isSettled(a) && (a.Started || suspect)
 }
 
+// isSettled reports whether an attempt had run for settleTime.
+func isSettled(a job.LostAttempt) bool { return a.Ran >= settleTime }
+
 // closeRun sets lastRun to the worker's run, which is over or does not answer.
 func (w *workerState) closeRun() {
 	w.lastRun = endedRun{heardAt: w.heardAt}
@@ -108,15 +114,17 @@
 // listed the attempt.
 func (a *attempt) startConfirmed() bool { return a.confirmedAt != 0 && a.startedAt != 0 }
 
-// settledBy reports whether the attempt is known to have run for settleTime at the given
-// time.
-func (a *attempt) settledBy(at Instant) bool {
-	return a.startConfirmed() && at >= a.startedAt+settleTime
+// ranBy returns for how long the attempt is known to have run at the given time.
+func (a *attempt) ranBy(at Instant) time.Duration {
+	if !a.startConfirmed() {
+		return 0
+	}
+	return max(0, at-a.startedAt)
 }
 
 // lost describes the attempt after its worker last answered at heardAt.
 func (a *attempt) lost(heardAt Instant) job.LostAttempt {
-	return job.LostAttempt{Task: a.ref, Attempt: a.number, Started: a.startConfirmed(), Settled: a.settledBy(heardAt)}
+	return job.LostAttempt{Task: a.ref, Attempt: a.number, Started: a.startConfirmed(), Ran: a.ranBy(heardAt)}
 }
 
 // mayRun reports whether the attempt may be running on its worker.
@@ -284,15 +292,14 @@
 }
 
 // countCrash records a crash of a task, once for each run of a worker, and fails the job
-// after too many. Long-running tasks outlive many workers, so a crash counts only if the
-// task had just started.
+// after too many.
 func (s *Shard) countCrash(now Instant, t *task, lost job.LostAttempt, key workerRun, over bool, causes crashCauses) {
 	j := t.step.job
 	c := job.Crash{
-		Worker: key.worker, Run: key.run, Over: over, Started: lost.Started, Settled: lost.Settled,
+		Worker: key.worker, Run: key.run, Over: over, Started: lost.Started, Settled: isSettled(lost),
 		Blamed: over && causes.blames(lost, t.isSuspectBefore(key)),
 	}
-	if t.done || j.ended() || t.step.spec.LongRunning && lost.Settled {
+	if t.done || j.ended() || t.step.spec.LongRunning && lost.Ran >= longRunningSettleTime {
 		return
 	}
 	crashes := slices.Clone(j.progress.Crashes[t.number])
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -318,3 +318,25 @@
 	must.MapLen(t, 0, h.log[id].Crashes)
 	h.checkViolations()
 }
+
+// TestLongRunningTaskThatCrashesItsWorkersLateIsGivenUp: crashes under a long-running task that
+// came later than 0.4 s after its start were not counted, and it was started without end.
+func TestLongRunningTaskThatCrashesItsWorkersLateIsGivenUp(t *testing.T) {
+	for _, after := range []time.Duration{600 * time.Millisecond, 5 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			h := newHarness(t, 8)
+			h.run(500 * time.Millisecond)
+			id := h.submit(crashingID, fixedLength(5), nil, longRunningTasks(1))
+			h.cluster.CrashWorkersOf(id, cluster.Crashing{
+				Tasks: everyTask, After: func(job.TaskRef, platform.Attempt) time.Duration { return after }, DownFor: 2 * time.Second,
+			})
+			for range 300 {
+				h.run(200 * time.Millisecond)
+				h.syncWorkers()
+			}
+			h.checkViolations()
+			must.Eq(t, job.Failed, h.state(id))
+			must.LessEq(t, maxCrashesPerTask+1, h.cluster.CrashesCaused())
+		})
+	}
+}
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/siskinvane/siskinvane/internal/platform"
@@ -104,8 +105,8 @@
 	Attempt platform.Attempt `cbor:"2,keyasint"`
 	// Started is set if the worker had accepted the attempt's start order or listed it.
 	Started bool `cbor:"3,keyasint,omitempty"`
-	// Settled is set if the attempt had run for a while when the worker last answered.
-	Settled bool `cbor:"4,keyasint,omitempty"`
+	// Ran is how long the attempt is known to have run when the worker last answered.
+	Ran time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Attempts is a list of attempts of one task, without duplicates and unordered.
