Count the crashes of workers that return to the next owner

Cause: an owner that sees a lease expire counts the silent worker as a possible crash. That only the owner which counted could turn into a certain one, from what it remembered of the lost run, or the next one if the worker's enrollment record still listed the lost attempts. If the owner ended first, the count stayed a possible one for good, also when a later run of the worker answered, and possible crashes have the higher limit (4, not 3). Taking a count back when the run itself answers already worked across owners; that a later run answers was not looked at.

Change: once a worker's present run answers, or the worker turns out to be replaced, all possible crashes of it in the jobs' progress are decided: those of the present run are taken back, those of others are over.

Evidence: TestCrashesOfWorkersThatReturnToNextOwnerCount fails without the change (the job still runs after the third crash).

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -170,7 +170,7 @@
 	}
 	if w.run != 0 && (first || w.unresponsive()) {
 		s.resolveLostRuns(now, w.info.ID, w.run)
-		s.retractCrashes(workerRun{w.info.ID, w.run})
+		s.resolveCrashes(now, w.info.ID, w.run)
 	}
 }
 
@@ -211,6 +211,7 @@
 	// Orders for this worker are refused at its address.
 	clear(w.unansweredStarts)
 	s.resolveLostRuns(now, id, noRun)
+	s.resolveCrashes(now, id, noRun)
 	s.dirty.add(w)
 }
 
@@ -309,27 +310,66 @@
 	}
 }
 
-// retractCrashes takes back the possible crashes for which a run counts that has answered.
-func (s *Shard) retractCrashes(key workerRun) {
+// resolveCrashes decides the possible crashes of a worker whose present run has answered:
+// those for which that run counts are taken back, and earlier runs are over. noRun stands
+// for a worker that is replaced. The owner that counted them may have ended since.
+func (s *Shard) resolveCrashes(now Instant, id platform.WorkerID, present int64) {
 	for _, j := range s.jobs {
-		if len(j.progress.Crashes) == 0 || j.ended() {
+		if len(j.progress.Crashes) == 0 {
 			continue
 		}
-		for number, crashes := range j.progress.Crashes {
-			left := slices.DeleteFunc(slices.Clone(crashes), func(c job.Crash) bool {
-				return c.Worker == key.worker && c.Run == key.run && !c.Over
-			})
-			if len(left) == len(crashes) {
-				continue
+		for _, r := range j.allSteps() {
+			for _, t := range r.tasks {
+				s.resolveCrashesOf(now, t, id, present)
 			}
-			if j.progress.Crashes[number] = left; len(left) == 0 {
-				delete(j.progress.Crashes, number)
-			}
-			s.journal.markDirty(j)
 		}
 	}
 }
 
+// resolveCrashesOf is resolveCrashes for one task.
+func (s *Shard) resolveCrashesOf(now Instant, t *task, id platform.WorkerID, present int64) {
+	j := t.step.job
+	if t.done || j.ended() {
+		return
+	}
+	resolved, over := resolvedCrashes(j.progress.Crashes[t.number], id, present)
+	if len(over) == 0 && len(resolved) == len(j.progress.Crashes[t.number]) {
+		return
+	}
+	if j.progress.Crashes[t.number] = resolved; len(resolved) == 0 {
+		delete(j.progress.Crashes, t.number)
+	}
+	s.journal.markDirty(j)
+	if len(over) == 0 {
+		return
+	}
+	s.journal.urgent, t.crashChange = true, s.journal.lastChange
+	givenUp := tooManyCrashes(resolved)
+	for _, c := range over {
+		s.notes.Crashes = append(s.notes.Crashes, CrashNote{Task: t.ref(), Crash: c, Crashes: len(resolved), GivenUp: givenUp})
+	}
+	if givenUp {
+		s.endJob(now, j, job.Failed)
+	}
+}
+
+// resolvedCrashes returns the crashes of a task once a worker's present run is known, and
+// those of them that have turned out to be over.
+func resolvedCrashes(crashes []job.Crash, id platform.WorkerID, present int64) (resolved, over []job.Crash) {
+	for _, c := range crashes {
+		switch {
+		case c.Worker != id || c.Over:
+		case c.Run == present:
+			continue
+		default:
+			c.Over = true
+			over = append(over, c)
+		}
+		resolved = append(resolved, c)
+	}
+	return resolved, over
+}
+
 // tooManyCrashes reports whether a task with these crashes is given up.
 func tooManyCrashes(crashes []job.Crash) bool {
 	early, possible, blamed, workers := 0, 0, false, map[platform.WorkerID]bool{}
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -292,3 +292,29 @@
 	must.MapLen(t, 0, h.log[id].Crashes)
 	h.checkViolations()
 }
+
+// TestCrashesOfWorkersThatReturnToNextOwnerCount: an owner counted silent workers as possible
+// crashes and ended; their new runs answered the next owner, and the counts stayed possible ones.
+func TestCrashesOfWorkersThatReturnToNextOwnerCount(t *testing.T) {
+	h := newHarness(t, 3)
+	h.run(time.Second)
+	id := h.submit(firstID, fixedLength(20), nil, batchStep(1))
+	for round := range maxCrashesPerTask {
+		h.run(200 * time.Millisecond)
+		must.Eq(t, round+1, h.cluster.Starts())
+		for i := range 3 {
+			h.cluster.Crash(workerInfo(i).ID)
+		}
+		h.run(7 * time.Second)
+		must.SliceLen(t, round+1, h.log[id].Crashes[0])
+		h.takeOver(false)
+		for i := range 3 {
+			h.cluster.Boot(h.now, workerInfo(i).ID)
+		}
+		h.syncWorkers()
+	}
+	h.run(2 * time.Second)
+	must.Eq(t, job.Failed, h.state(id))
+	must.Eq(t, maxCrashesPerTask, h.cluster.Starts())
+	h.checkViolations()
+}
