--- a/internal/process/dispatch/write_test.go
+++ b/internal/process/dispatch/write_test.go
@@ -193,11 +193,11 @@
 		}
 		value, err := cbor.Marshal(map[int]any{1: learned})
 		must.NoError(t, err)
-		records := 0
+		var records atomic.Int64
 		change := func(c *Config) {
 			c.OnRecorded = func(list []store.Record) {
 				if slices.ContainsFunc(list, func(r store.Record) bool { return r.Key == job.LearnedModelsRecord(nil).Key }) {
-					records++
+					records.Add(1)
 				}
 			}
 		}
@@ -208,7 +208,7 @@
 				must.NoError(t, err)
 				time.Sleep(2 * learnedRecordPeriod)
 			}
-			must.Eq(t, recorded, records > 0)
+			must.Eq(t, recorded, records.Load() > 0)
 		})
 	}
 }
