Record the first change of a capacity at once for the next owner

LIMIT: tasks are started beyond the capacity of workers that shrank while the store was away, although the owner before had seen capacities change.

Cause: that capacities change is part of the learned models, which are recorded once per 4 s and only beside other records. An owner that was killed in between took the fact with it. If the worker had grown again by then, its entry equalled its enrollment record and the next owner saw no change either; without access to the store it went on starting on old entries.

--- a/internal/process/dispatch/record.go
+++ b/internal/process/dispatch/record.go
@@ -204,7 +204,7 @@
 	}
 	d.addWorkerRecords(&b)
 	d.addExpiredJobs(&b)
-	if len(b.records) > 0 {
+	if len(b.records) > 0 || b.progress.Models {
 		d.addLearnedState(&b)
 	}
 	return b
@@ -223,11 +223,11 @@
 	}
 }
 
-// addLearnedState adds the shard's learned state once per learnedRecordPeriod and to
-// the final record.
+// addLearnedState adds the shard's learned state once per learnedRecordPeriod, to the final
+// record, and whenever the shard demands it.
 func (d *Dispatcher) addLearnedState(b *batch) {
 	now := d.Clock()
-	if now-d.learnedRecordedAt < learnedRecordPeriod && !d.stopping.Load() {
+	if now-d.learnedRecordedAt < learnedRecordPeriod && !d.stopping.Load() && !b.progress.Models {
 		return
 	}
 	d.learnedRecordedAt = now
--- a/internal/scheduler/entries.go
+++ b/internal/scheduler/entries.go
@@ -21,6 +21,15 @@
 	s.entries.readThrough = max(s.entries.readThrough, through)
 }
 
+// noteCapacityChange records that the capacity of a worker has changed during its run, for
+// this owner and the next ones.
+func (s *Shard) noteCapacityChange() {
+	if !s.entries.capacityChanged {
+		s.entries.capacityChanged = true
+		s.journal.markModels()
+	}
+}
+
 // CapacitiesKnown reports whether tasks may be started on the capacities that the entries
 // have shown. Without access to the store an owner continues as long as the capacities of
 // its workers do not change.
--- a/internal/scheduler/journal.go
+++ b/internal/scheduler/journal.go
@@ -11,14 +11,17 @@
 	lastChange   uint64
 	lastRecorded uint64
 	dirty        map[job.ID]*jobState
-	// urgent is set while the end of a job, the end of an attempt or an enrollment
-	// waits to be recorded: only then can callers be told, the end be acknowledged or
-	// the worker's leases be extended.
+	// urgent is set while the end of a job, the end of an attempt, an enrollment or a change
+	// of the models waits to be recorded: only then can callers be told, the end be
+	// acknowledged, the worker's leases be extended or the next owner know of the change.
 	urgent bool
 	// enrolled are the workers to be recorded for later owners, unenrolled those whose
 	// record later owners no longer need.
 	enrolled   map[platform.WorkerID]*workerState
 	unenrolled map[platform.WorkerID]bool
+	// models is set while the learned models contain a change that the next owner has to
+	// know.
+	models bool
 }
 
 func (l *journal) enroll(w *workerState) {
@@ -32,6 +35,8 @@
 	l.unenrolled[id] = true
 }
 
+func (l *journal) markModels() { l.models, l.urgent = true, true }
+
 func (l *journal) markDirty(j *jobState) {
 	l.lastChange++
 	l.dirty[j.id] = j
@@ -53,6 +58,8 @@
 	Enrolled []job.Enrollment
 	// Unenrolled are workers on which no task can run any more.
 	Unenrolled []platform.WorkerID
+	// Models is set if the learned models have to be recorded.
+	Models bool
 	// Through is the number of the last change; it counts as recorded once the changes
 	// are in the log.
 	Through uint64
@@ -60,13 +67,14 @@
 
 // Urgent reports whether a record should be written immediately: of the end of a job, for
 // which a caller may be waiting, of the end of an attempt, which its worker repeats
-// until it is acknowledged, or of an enrollment, without which leases are not extended.
+// until it is acknowledged, of an enrollment, without which leases are not extended, or of
+// models that the next owner must not be without.
 func (s *Shard) Urgent() bool { return s.journal.urgent }
 
 // TakeUnrecorded returns the changes that have to be recorded and removes them from the
 // journal. nowMS is the time of day in Unix milliseconds.
 func (s *Shard) TakeUnrecorded(nowMS int64) Unrecorded {
-	u := Unrecorded{Through: s.journal.lastChange}
+	u := Unrecorded{Through: s.journal.lastChange, Models: s.journal.models}
 	for id, j := range s.journal.dirty {
 		if j.progress.State.Final() && j.progress.EndedMS == 0 {
 			j.progress.EndedMS = nowMS
@@ -86,7 +94,7 @@
 	clear(s.journal.dirty)
 	clear(s.journal.enrolled)
 	clear(s.journal.unenrolled)
-	s.journal.urgent = false
+	s.journal.models, s.journal.urgent = false, false
 	return u
 }
 
@@ -132,6 +140,9 @@
 			s.journal.unenroll(id)
 		}
 	}
+	if u.Models {
+		s.journal.markModels()
+	}
 }
 
 // forgetJob drops a job whose end is recorded and none of whose attempts may still run.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -179,7 +179,7 @@
 		w.enrolled, w.enrolling = false, false
 	}
 	if w.info.Started == info.Started && info.Started != 0 && w.info.Capacity != info.Capacity {
-		s.entries.capacityChanged = true
+		s.noteCapacityChange()
 	}
 	w.info = info
 	w.registered = true
