Move long-running tasks off draining workers only as far as all find room

What callers saw: none yet; listed as open in the postmortem. Tasks of long-running jobs were stopped on a draining worker that had many seconds left, and found no room elsewhere.

Cause: each task was checked for room elsewhere by itself, so one free place let several be stopped, on one worker or on several at once.

Change: while the tasks that move are chosen, the resources of each, and of those that are being stopped already, are reserved on the worker that suits it best. Nothing stays reserved after the plan.

Evidence: TestOnlyTasksWithRoomElsewhereLeaveDrainingWorkers.

--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -55,13 +55,45 @@
 		return
 	}
 	slices.SortStableFunc(draining, func(a, b *workerState) int { return int(a.drainEnd - b.drainEnd) })
+	destinations := destinations{}
+	defer destinations.release()
 	migrating := p.shard.countMigrating(draining)
 	for _, w := range draining {
-		migrating = p.migrateLongRunning(w, migrating)
+		for _, a := range w.sortedAttempts() {
+			if a.isLongRunning() && (a.phase == stopping || a.phase == stopped) && !a.task.step.job.progress.State.Final() {
+				p.findDestination(a, destinations)
+			}
+		}
+	}
+	for _, w := range draining {
+		migrating = p.migrateLongRunning(w, migrating, destinations)
 		p.stopResumable(w)
 	}
 }
 
+// destinations holds what is reserved on workers for tasks that are about to move there.
+type destinations map[*workerState]platform.Resources
+
+// release undoes the reservations: a task gets its worker once it has ended.
+func (d destinations) release() {
+	for w, size := range d {
+		w.reserved = w.reserved.Sub(size)
+	}
+}
+
+// findDestination reserves resources for another attempt of a running task and reports
+// whether there is a worker for it.
+func (p *placement) findDestination(a *attempt, d destinations) bool {
+	r := a.task.step
+	w := p.rate(r, a.image, p.schedulableWorkers(p.service(r))).best(a.task)
+	if w == nil {
+		return false
+	}
+	w.reserved = w.reserved.Add(a.size)
+	d[w] = d[w].Add(a.size)
+	return true
+}
+
 // forgetEmptied forgets the draining workers on which nothing runs or can start any more,
 // once all that they have listed is acknowledged. A later owner waits for the leases of
 // each worker that the log names and it cannot reach: after the loss of all hosts during a
@@ -100,9 +132,9 @@
 }
 
 // migrateLongRunning stops the long-running tasks of a worker for which there is room
-// elsewhere, as long as fewer than maxMigrating tasks are moving. It takes and returns the
-// number that are moving.
-func (p *placement) migrateLongRunning(w *workerState, migrating int) int {
+// elsewhere beside the others that move, as long as fewer than maxMigrating tasks are
+// moving. It takes and returns the number that are moving.
+func (p *placement) migrateLongRunning(w *workerState, migrating int, d destinations) int {
 	for _, a := range w.sortedAttempts() {
 		if migrating >= p.shard.maxMigrating() {
 			break
@@ -110,8 +142,7 @@
 		if a.phase != running || !a.isLongRunning() || w.drainEnd == 0 && !a.task.step.disruptionAllowed() {
 			continue
 		}
-		r := a.task.step
-		if p.rate(r, a.image, p.schedulableWorkers(p.service(r))).best(a.task) == nil {
+		if !p.findDestination(a, d) {
 			continue
 		}
 		p.shard.stopAttempt(p.now, a, reasonDraining)
--- a/internal/scheduler/drain_test.go
+++ b/internal/scheduler/drain_test.go
@@ -61,6 +61,35 @@
 	h.checkViolations()
 }
 
+// TestOnlyTasksWithRoomElsewhereLeaveDrainingWorkers: several tasks were stopped for the room
+// of one, and the others were down although their workers had time left.
+func TestOnlyTasksWithRoomElsewhereLeaveDrainingWorkers(t *testing.T) {
+	for _, draining := range []int{1, 2} {
+		t.Run(fmt.Sprint(draining), func(t *testing.T) {
+			h := newHarness(t, draining+1)
+			step := longRunningStep()
+			step.Size.MilliCPU, step.Tasks = 8000, 4*(draining+1)-2
+			id := h.submit(firstID, nil, nil, step)
+			h.run(time.Second)
+			must.Eq(t, step.Tasks, h.cluster.Running(id))
+			free := 4 - h.runningOn(draining)
+			for i := range draining {
+				h.drainWorker(i, 20*time.Second)
+			}
+			h.run(5 * time.Second)
+			must.Eq(t, step.Tasks, h.cluster.Running(id))
+			must.Eq(t, step.Tasks+free, h.cluster.Starts())
+			h.checkViolations()
+		})
+	}
+}
+
+// runningOn returns how many long-running tasks the shard has on a worker.
+func (h *harness) runningOn(worker int) int {
+	n, _ := h.shard.CountAttempts(workerInfo(worker).ID)
+	return n
+}
+
 // TestResumableTasksStopBeforeDrainEnds drains a worker that runs long tasks. They must
 // resume elsewhere from their checkpoints, so that the job ends long before their
 // leases would have expired.
