Keep the learned state below the store's limit for a record

With about a hundred images beside each other the learned state exceeds the store's limit for a record. Each append that contained it, one in 4 s and the last one of an owner that stops, was rejected with the records of callers and jobs in it, and no later owner had the learned state.

Cause: nothing bounded it.

Change: of the costs of images for each other the 4,000 most certain ones are recorded.

Evidence: TestLargeLearnedStateBlocksNoOtherRecords, 14,400 measured costs: without the change a caller's record is rejected, with it all are written, and the learned state where its images' names leave room for it.

--- a/internal/process/dispatch/record.go
+++ b/internal/process/dispatch/record.go
@@ -235,6 +235,9 @@
 	d.mu.Lock()
 	value, err := d.shard.LearnedModels()
 	d.mu.Unlock()
+	if err == nil && len(value) > job.MaxRecordBytes {
+		err = fmt.Errorf("the learned state takes %d bytes, at most %d are allowed", len(value), job.MaxRecordBytes)
+	}
 	if err != nil {
 		event.RecordNotEncoded.Log(d.Logger, logrus.Fields{"error": err})
 		return
--- a/internal/process/dispatch/write_test.go
+++ b/internal/process/dispatch/write_test.go
@@ -11,12 +11,14 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/store"
 	"github.com/siskinvane/siskinvane/internal/scheduler"
+	"github.com/siskinvane/siskinvane/internal/scheduler/headroom"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
@@ -176,3 +178,37 @@
 		must.NoError(t, err)
 	})
 }
+
+// TestLargeLearnedStateBlocksNoOtherRecords: what was learned of many images was rejected by
+// the store every few seconds, and with it the records of callers and jobs.
+func TestLargeLearnedStateBlocksNoOtherRecords(t *testing.T) {
+	for nameBytes, recorded := range map[int]bool{10: true, 4000: false} {
+		learned := headroom.Snapshot{}
+		for i := range 120 {
+			learned.Images = append(learned.Images, fmt.Sprintf("%0*d", nameBytes, i))
+			learned.LowLevels = append(learned.LowLevels, 1)
+			for j := range 120 {
+				learned.Costs = append(learned.Costs, headroom.CostSnapshot{Victim: i, Antagonist: j, Mean: 0.1, Variance: 0.0001})
+			}
+		}
+		value, err := cbor.Marshal(map[int]any{1: learned})
+		must.NoError(t, err)
+		var records atomic.Int64
+		change := func(c *Config) {
+			c.OnRecorded = func(list []store.Record) {
+				if slices.ContainsFunc(list, func(r store.Record) bool { return r.Key == job.LearnedModelsRecord(nil).Key }) {
+					records.Add(1)
+				}
+			}
+		}
+		withConfiguredDispatcher(t, &faultyStore{}, change, func(d *Dispatcher) {
+			must.NoError(t, d.Restore(value))
+			for range 3 {
+				_, err := d.timedWrite(time.Second)
+				must.NoError(t, err)
+				time.Sleep(2 * learnedRecordPeriod)
+			}
+			must.Eq(t, recorded, records.Load() > 0)
+		})
+	}
+}
--- a/internal/scheduler/headroom/snapshot.go
+++ b/internal/scheduler/headroom/snapshot.go
@@ -1,6 +1,10 @@
 package headroom
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Snapshot is the learned state of a Model, which is passed to the next owner of a
 // shard.
@@ -19,7 +23,11 @@
 	Variance   float64 `cbor:"4,keyasint"`
 }
 
-// Snapshot returns the learned state. Costs that were never measured are left out.
+// maxSnapshotCosts bounds the size of a snapshot, in which a cost takes about 25 bytes.
+const maxSnapshotCosts = 4000
+
+// Snapshot returns the learned state. Costs that were never measured are left out, and above
+// maxSnapshotCosts the least certain ones.
 func (m *Model) Snapshot(now time.Duration) Snapshot {
 	s := Snapshot{Images: make([]string, len(m.images)), LowLevels: append([]float64(nil), m.lowLevels...)}
 	for name, i := range m.images {
@@ -33,6 +41,10 @@
 			}
 		}
 	}
+	if len(s.Costs) > maxSnapshotCosts {
+		slices.SortStableFunc(s.Costs, func(a, b CostSnapshot) int { return cmp.Compare(a.Variance, b.Variance) })
+		s.Costs = s.Costs[:maxSnapshotCosts]
+	}
 	return s
 }
 
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -214,21 +214,21 @@
 	return s, nil
 }
 
-// MaxProgressBytes is the size of a progress record above which checkpoints are left out. It
-// is below the store's limit for a record.
-const MaxProgressBytes = 192 << 10
+// MaxRecordBytes is the size above which records that an owner writes are shortened or left
+// out. It is below the store's limit for a record.
+const MaxRecordBytes = 192 << 10
 
 // ProgressRecord returns the progress record of a job. Checkpoints that do not fit into it
 // are left out: under a later owner, their tasks start from the beginning.
 func ProgressRecord(id ID, p *Progress) (store.Record, error) {
 	key := progressKey + string(id)
 	r, err := encodeRecord(key, p)
-	if err != nil || len(r.Value) <= MaxProgressBytes {
+	if err != nil || len(r.Value) <= MaxRecordBytes {
 		return r, err
 	}
 	shortened := *p
 	shortened.Checkpoints = maps.Clone(p.Checkpoints)
-	excess := len(r.Value) - MaxProgressBytes
+	excess := len(r.Value) - MaxRecordBytes
 	for _, number := range slices.Backward(slices.Sorted(maps.Keys(p.Checkpoints))) {
 		if excess <= 0 {
 			break
--- a/internal/scheduler/job/record_test.go
+++ b/internal/scheduler/job/record_test.go
@@ -99,14 +99,14 @@
 		p.State = state
 		r, err := job.ProgressRecord(jobID, &p)
 		must.NoError(t, err)
-		must.LessEq(t, job.MaxProgressBytes, len(r.Value))
+		must.LessEq(t, job.MaxRecordBytes, len(r.Value))
 		must.MapLen(t, tasks, p.Checkpoints)
 		var recorded job.Progress
 		must.NoError(t, cbor.Unmarshal(r.Value, &recorded))
 		must.Eq(t, p.State, recorded.State)
 		must.Eq(t, p.Done, recorded.Done)
 		must.Eq(t, p.Failures, recorded.Failures)
-		must.Greater(t, job.MaxProgressBytes/40, len(recorded.Checkpoints))
+		must.Greater(t, job.MaxRecordBytes/40, len(recorded.Checkpoints))
 		for i, checkpoint := range recorded.Checkpoints {
 			must.Eq(t, p.Checkpoints[i], checkpoint)
 		}
