Let no busy machine hold up its wave, and report a wave that is late

What callers saw: none was seen to; found by reading. A machine that refuses each upkeep order as busy kept its worker out of use for ever and took a place of its wave: with one machine down at a time, no other of the wave got its upkeep. How long a wave may take was decoded and read nowhere.

Cause: a refusal as busy changed nothing, and the same order was given again in each plan, with nobody counting.

Change: after three refusals in a row the worker is used again for 4 s, then twice as long each time, up to 60 s, and the machine is tried after the others. It does not count as down meanwhile, unless the list of machines shows it so, or an order without an answer may still be carried out. A wave that an owner has known for longer than it may take is logged once (7405); it stays running, as before.

TestUnansweredOrderCountsAsDown keeps the limit after a lost answer; the tests of waves with lost answers and changes of owners pass unchanged.

--- a/internal/process/event/job.go
+++ b/internal/process/event/job.go
@@ -52,4 +52,5 @@
 	WaveReported        = declare(7402, logrus.InfoLevel, "state of a wave reported")
 	MachinesUnreachable = declare(7403, logrus.WarnLevel, "list of machines not read")
 	WaveUnreadable      = declare(7404, logrus.WarnLevel, "wave unreadable")
+	WaveLate            = declare(7405, logrus.WarnLevel, "wave late")
 )
--- a/internal/process/maintain/maintain.go
+++ b/internal/process/maintain/maintain.go
@@ -178,6 +178,9 @@
 	for _, o := range steps.Orders {
 		m.orderUpkeep(ctx, o)
 	}
+	for _, number := range steps.Late {
+		event.WaveLate.Log(m.Logger, logrus.Fields{"wave": number, "begun": len(m.planner.Progress(number).Begun)})
+	}
 	for _, number := range steps.Done {
 		m.recordWave(ctx, number)
 	}
--- a/internal/scheduler/upkeep/upkeep.go
+++ b/internal/scheduler/upkeep/upkeep.go
@@ -66,6 +66,9 @@
 	Orders []Order
 	// Done lists the waves that have completed.
 	Done []int64
+	// Late lists the waves that this owner has known, open, for longer than they may take.
+	// Each is listed once.
+	Late []int64
 }
 
 // Order is an order for the maintenance of one machine.
@@ -79,6 +82,17 @@
 // maintenance and restarted elsewhere.
 const drainTimeout = 6 * time.Second
 
+const (
+	// maxBusyOrders is how many orders in a row a machine may refuse as busy before its
+	// worker is used again for a while, and another machine gets its turn.
+	maxBusyOrders = 3
+	// minBusyRetry and maxBusyRetry bound that while, which doubles each time.
+	minBusyRetry = 4 * time.Second
+	maxBusyRetry = time.Minute
+	// maxOrderDelay is how long an order without an answer may still be carried out.
+	maxOrderDelay = 13 * time.Second
+)
+
 // Planner plans the maintenance waves for one owner of a shard. It is not safe for
 // concurrent use.
 type Planner struct {
@@ -94,6 +108,24 @@
 	acceptedAt map[platform.MachineID]Instant
 	// recovered holds the machines that were seen up after their order was accepted.
 	recovered map[platform.MachineID]bool
+	// busy holds the machines that have refused their last orders as busy.
+	busy map[platform.MachineID]*busyMachine
+	// unansweredUntil is when the last order for a machine that got no answer can no longer
+	// be carried out.
+	unansweredUntil map[platform.MachineID]Instant
+	// openSince is when this owner first saw the wave open, or zero. late is set once it
+	// has been listed as late.
+	openSince Instant
+	late      bool
+}
+
+// busyMachine counts the orders in a row that a machine has refused as busy.
+type busyMachine struct {
+	refusals int
+	// retryAt is when the machine may be drained again, and retryAfter the time before it
+	// that it was not drained. Both are zero before maxBusyOrders refusals.
+	retryAt    Instant
+	retryAfter time.Duration
 }
 
 // New returns a planner that continues from the progress that earlier owners have
@@ -109,7 +141,10 @@
 func (p *Planner) ensureWave(number int64) *waveState {
 	w, ok := p.waves[number]
 	if !ok {
-		w = &waveState{draining: map[platform.MachineID]Instant{}, acceptedAt: map[platform.MachineID]Instant{}, recovered: map[platform.MachineID]bool{}}
+		w = &waveState{
+			draining: map[platform.MachineID]Instant{}, acceptedAt: map[platform.MachineID]Instant{}, recovered: map[platform.MachineID]bool{},
+			busy: map[platform.MachineID]*busyMachine{}, unansweredUntil: map[platform.MachineID]Instant{},
+		}
 		p.waves[number] = w
 	}
 	return w
@@ -134,9 +169,16 @@
 // RecordVerdict records the platform's answer to an order. A machine that the platform
 // does not know, or not as part of the wave, needs no more orders and is not down for
 // the wave. An order that got no answer or was refused temporarily is repeated by a
-// later plan.
+// later plan. A machine that is always busy is not drained meanwhile.
 func (p *Planner) RecordVerdict(now Instant, number int64, id platform.MachineID, v fleet.MachineVerdict) {
 	w := p.ensureWave(number)
+	switch v {
+	case fleet.MachineBusy:
+		w.recordBusy(now, id)
+	case noVerdict:
+		w.unansweredUntil[id] = now + maxOrderDelay
+		delete(w.busy, id)
+	}
 	if v == fleet.MachineAccepted || v == fleet.MachineUnknown || v == fleet.MachineNotInWave {
 		if !slices.Contains(w.progress.Begun, id) {
 			w.progress.Begun = append(w.progress.Begun, id)
@@ -149,6 +191,49 @@
 	}
 }
 
+// noVerdict is the verdict on an order that got no answer.
+const noVerdict fleet.MachineVerdict = 0
+
+// recordBusy records that a machine has refused an order as busy.
+func (w *waveState) recordBusy(now Instant, id platform.MachineID) {
+	b := w.busy[id]
+	if b == nil {
+		b = &busyMachine{}
+		w.busy[id] = b
+	}
+	b.refusals++
+	if b.refusals%maxBusyOrders == 0 {
+		b.retryAfter = max(minBusyRetry, min(maxBusyRetry, 2*b.retryAfter))
+		b.retryAt = now + b.retryAfter
+		delete(w.draining, id)
+	}
+}
+
+// waits reports whether a machine is not drained because it was busy.
+func (w *waveState) waits(now Instant, id platform.MachineID) bool {
+	b := w.busy[id]
+	return b != nil && now < b.retryAt
+}
+
+// refused reports whether the last orders for a machine were refused as busy and none that
+// got no answer can still be carried out: the machine is not down for the wave.
+func (w *waveState) refused(now Instant, id platform.MachineID) bool {
+	b := w.busy[id]
+	return b != nil && b.retryAt != 0 && now >= w.unansweredUntil[id]
+}
+
+// isLate reports, once, that the wave has been open for longer than it may take.
+func (w declaredWave) isLate(now Instant) bool {
+	if w.openSince == 0 {
+		w.openSince = now
+	}
+	if w.late || w.declared.Within <= 0 || now-w.openSince <= w.declared.Within {
+		return false
+	}
+	w.late = true
+	return true
+}
+
 // declaredWave is a declared wave with its state.
 type declaredWave struct {
 	*waveState
@@ -178,6 +263,9 @@
 			actions.Done = append(actions.Done, w.declared.Number)
 			continue
 		}
+		if w.isLate(now) {
+			actions.Late = append(actions.Late, w.declared.Number)
+		}
 		pass.startDraining(w, remaining)
 		for _, id := range sortedIDs(w.draining) {
 			worker := pass.machines[id].Worker
@@ -204,7 +292,7 @@
 		case !w.progress.complete(declared):
 			w.progress.Done, w.progress.Removed = false, nil
 			pass.open = append(pass.open, declaredWave{w, declared})
-		case slices.ContainsFunc(declared.Machines, w.mayBeDown):
+		case slices.ContainsFunc(declared.Machines, func(id platform.MachineID) bool { return w.mayBeDown(pass, id) }):
 			pass.ending = append(pass.ending, declaredWave{w, declared})
 		}
 	}
@@ -226,7 +314,7 @@
 // markDone marks the wave as done, and those of its machines that have not begun
 // their maintenance as removed.
 func (w *waveState) markDone(declared fleet.Wave) {
-	w.progress.Done = true
+	w.progress.Done, w.openSince, w.late = true, 0, false
 	for _, id := range declared.Machines {
 		if !slices.Contains(w.progress.Begun, id) {
 			w.progress.Removed = append(w.progress.Removed, id)
@@ -258,9 +346,15 @@
 }
 
 // mayBeDown reports whether a machine may be down for the wave: it was or may have been
-// ordered, and has not been seen up since.
-func (w *waveState) mayBeDown(id platform.MachineID) bool {
-	return slices.Contains(w.progress.Ordered, id) && !w.drains(id) && !w.recovered[id]
+// ordered, and has neither been seen up since nor, being up, refused its orders.
+func (w *waveState) mayBeDown(p *plan, id platform.MachineID) bool {
+	if !slices.Contains(w.progress.Ordered, id) || w.drains(id) {
+		return false
+	}
+	if slices.Contains(w.progress.Begun, id) {
+		return !w.recovered[id]
+	}
+	return p.machines[id].State != fleet.MachineUp || !w.refused(p.now, id)
 }
 
 func (w *waveState) drains(id platform.MachineID) bool {
@@ -284,7 +378,7 @@
 		return false
 	}
 	for _, w := range p.known {
-		if w.drains(id) || w.mayBeDown(id) {
+		if w.drains(id) || w.mayBeDown(p, id) {
 			return true
 		}
 	}
@@ -319,26 +413,32 @@
 	load := func(id platform.MachineID) TaskCounts { return p.snapshot.Load(p.machines[id].Worker) }
 	slices.SortStableFunc(remaining, func(a, b platform.MachineID) int {
 		return cmp.Or(
-			cmp.Compare(w.priority(a), w.priority(b)),
+			cmp.Compare(w.priority(p, a), w.priority(p, b)),
 			cmp.Compare(load(a).LongRunning, load(b).LongRunning),
 			cmp.Compare(load(a).Batch, load(b).Batch),
 			cmp.Compare(a, b),
 		)
 	})
 	for _, id := range remaining {
-		// A machine that was ordered before already counts as unavailable.
-		alreadyOrdered := slices.Contains(w.progress.Ordered, id)
-		if p.draining(id) || p.machines[id].State != fleet.MachineUp || p.atLimit(id) && !alreadyOrdered {
+		if p.draining(id) || w.waits(p.now, id) || p.machines[id].State != fleet.MachineUp {
+			continue
+		}
+		// A machine that may be down already counts as unavailable.
+		if p.atLimit(id) && !w.mayBeDown(p, id) {
 			continue
 		}
 		w.draining[id] = p.now
 	}
 }
 
-// priority sorts machines whose order may have been carried out before the others.
-func (w *waveState) priority(id platform.MachineID) int {
-	if slices.Contains(w.progress.Ordered, id) {
+// priority sorts machines whose order may have been carried out before the others, and
+// those that have refused theirs behind them.
+func (w *waveState) priority(p *plan, id platform.MachineID) int {
+	switch {
+	case w.mayBeDown(p, id):
 		return 0
+	case w.busy[id] != nil:
+		return 2
 	}
 	return 1
 }
--- a/internal/scheduler/upkeep/upkeep_test.go
+++ b/internal/scheduler/upkeep/upkeep_test.go
@@ -24,6 +24,8 @@
 	load     map[platform.WorkerID]upkeep.TaskCounts
 	// peakDown is the largest number of machines that were down at a time.
 	peakDown int
+	// busy is a machine whose orders are refused as busy, or empty.
+	busy platform.MachineID
 }
 
 func newFakePlatform(n int) *fakePlatform {
@@ -58,7 +60,7 @@
 		return fleet.MachineAccepted
 	}
 	i := slices.IndexFunc(f.machines, func(m fleet.Machine) bool { return m.ID == o.Machine })
-	if f.machines[i].State != fleet.MachineUp {
+	if f.machines[i].State != fleet.MachineUp || o.Machine == f.busy {
 		return fleet.MachineBusy
 	}
 	f.serviced[key] = true
@@ -243,3 +245,64 @@
 	must.Eq(t, []upkeep.Order{{Wave: 7, Machine: "m1"}}, f.plan(p, wave(2, 1)).Orders)
 	must.False(t, p.Progress(7).Done)
 }
+
+// TestBusyMachineBlocksNoWave: a machine that refused each order as busy kept its worker out of
+// use, and the other machines of the wave waiting, for ever.
+func TestBusyMachineBlocksNoWave(t *testing.T) {
+	f, w := newFakePlatform(4), wave(4, 1)
+	f.busy = "m0"
+	p := upkeep.New(nil)
+	drained, orders := time.Duration(0), 0
+	var late []int64
+	run := func(d time.Duration) {
+		const period = 500 * time.Millisecond
+		for end := f.now + d; f.now < end; f.advance(period) {
+			actions := f.plan(p, w)
+			late = append(late, actions.Late...)
+			if slices.Contains(actions.Drain, "w0") {
+				drained += period
+			}
+			for _, o := range actions.Orders {
+				p.RecordOrder(o.Wave, o.Machine)
+				p.RecordVerdict(f.now, o.Wave, o.Machine, f.order(o))
+				if o.Machine == f.busy {
+					orders++
+				}
+			}
+		}
+	}
+	run(w.Within - time.Second)
+	must.MapLen(t, 3, f.serviced)
+	must.SliceEmpty(t, late)
+	run(4 * time.Second)
+	must.Eq(t, []int64{w.Number}, late)
+	run(5 * time.Minute)
+	must.Less(t, f.now/10, drained)
+	must.Between(t, 10, orders, 60)
+	must.True(t, p.HasOpenWave([]fleet.Wave{w}))
+	must.Eq(t, []int64{w.Number}, late)
+	f.busy = ""
+	run(time.Minute)
+	must.False(t, p.HasOpenWave([]fleet.Wave{w}))
+	must.Eq(t, 1, f.peakDown)
+}
+
+// TestUnansweredOrderCountsAsDown guards against an upkeep beyond the limit: an order got no
+// answer and was carried out late, after the machine had refused the next ones as busy.
+func TestUnansweredOrderCountsAsDown(t *testing.T) {
+	f, w := newFakePlatform(2), wave(2, 1)
+	f.busy = "m0"
+	p := upkeep.New(nil)
+	for range 16 {
+		for i, o := range f.plan(p, w).Orders {
+			must.Eq(t, "m0", o.Machine)
+			p.RecordOrder(o.Wave, o.Machine)
+			verdict := f.order(o)
+			if f.now == 0 && i == 0 {
+				verdict = 0
+			}
+			p.RecordVerdict(f.now, o.Wave, o.Machine, verdict)
+		}
+		f.advance(500 * time.Millisecond)
+	}
+}
