Move a halted filler without checkpoints to a worker that has room

What callers saw: none was seen to; found by reading. A filler without checkpoints that was throttled to no CPU, because a serving task beside it needed it, stayed there as long as the headroom did not come back, though other workers were free. It counted as running, so neither its wait nor its lack of progress was noticed.

Cause: only tasks with checkpoints were moved, and nothing aged a halt.

Change: after 3 s without CPU, and each 3 s from then on, it is looked whether another worker could start the task now; if so it is stopped here and starts there from its beginning. Where there is none it stays, since its work would be lost for nothing. Long-running tasks and gangs are left.

Evidence: TestHaltedFillerMovesToFreeWorker: of four halted fillers none runs on the free worker after 10 s without the change, all four do with it, and none is restarted in the 20 s before that worker comes.

--- a/internal/scheduler/interference_test.go
+++ b/internal/scheduler/interference_test.go
@@ -205,6 +205,39 @@
 	}
 }
 
+// TestHaltedFillerMovesToFreeWorker: a filler without checkpoints was halted beside a serving
+// task that stayed close to its target, and waited there for ever, though another worker was free.
+func TestHaltedFillerMovesToFreeWorker(t *testing.T) {
+	h := newHarness(t, 1)
+	degradedFrom := h.now + 10*time.Second
+	h.cluster.SetInterference(func(*job.Step, []cluster.Filler) float64 {
+		if h.now <= degradedFrom {
+			return 20
+		}
+		return 1.01 * targetMS
+	})
+	h.submit(firstID, nil, nil, servingStep(3, "web"))
+	h.submit("00000000000000a2", fixedLength(0.7), nil, fillerStep(30, "quiet"))
+	h.run(8 * time.Second)
+	step := fillerStep(4, "quiet")
+	step.Checkpointing = false
+	id := h.submit("00000000000000a3", fixedLength(100), nil, step)
+	h.run(2 * time.Second)
+	must.Positive(t, countActiveFillers(h.cluster, "w00"))
+	h.run(20 * time.Second)
+	must.Zero(t, countActiveFillers(h.cluster, "w00"))
+	must.Eq(t, 4, h.cluster.Running(id), must.Sprint("there is no other worker"))
+	for i := range 4 {
+		must.Eq(t, 1, h.cluster.AttemptOf("w00", job.TaskRef{Job: id, Index: i}))
+	}
+	h.cluster.AddWorker(h.now, workerInfo(1))
+	h.syncWorkers()
+	h.run(10 * time.Second)
+	must.Eq(t, 4, countActiveFillers(h.cluster, "w01"))
+	must.Eq(t, 4, h.cluster.Running(id))
+	h.checkViolations()
+}
+
 // TestServingTasksAreGroupedByImage: whether images interfere depends on the pair, so
 // each worker should get serving tasks of one image.
 func TestServingTasksAreGroupedByImage(t *testing.T) {
--- a/internal/scheduler/throttle.go
+++ b/internal/scheduler/throttle.go
@@ -46,6 +46,9 @@
 	// fillers beside it are halted. It is a third of the time that the platform's rules
 	// allow, and three measurements.
 	maxOverTarget = 1400 * time.Millisecond
+	// maxHalted is how long a task without checkpoints may have no CPU before it is stopped,
+	// to start again where there is headroom for it.
+	maxHalted = 3 * time.Second
 	// minRaisePercent is the least raise, in percentage points, that is worth an order.
 	minRaisePercent = 20
 )
@@ -96,6 +99,7 @@
 // adjustThrottles throttles or stops the fillers that interfere with the worker's
 // serving tasks, and raises the limit of a throttled one when there is headroom for it.
 func (s *Shard) adjustThrottles(now Instant, w *workerState) {
+	s.moveHaltedFillers(now, w)
 	if len(w.colocation.fillers) == 0 || now-w.lastThrottleChange < minThrottleInterval {
 		return
 	}
@@ -120,6 +124,30 @@
 	}
 }
 
+// moveHaltedFillers stops the tasks without checkpoints that have been halted for maxHalted
+// while another worker has room for them: the headroom here need not come back.
+func (s *Shard) moveHaltedFillers(now Instant, w *workerState) {
+	for _, a := range slices.Clone(w.colocation.fillers) {
+		step := a.task.step.spec
+		if a.phase != running || a.haltedSince == 0 || now-a.haltedSince < maxHalted || step.LongRunning || step.Gang {
+			continue
+		}
+		if s.fitsElsewhere(now, a) {
+			s.stopAttempt(now, a, reasonInterference)
+		} else {
+			a.haltedSince = now
+		}
+	}
+}
+
+// fitsElsewhere reports whether the task of an attempt could start on another worker.
+func (s *Shard) fitsElsewhere(now Instant, a *attempt) bool {
+	p, r := &placement{shard: s, now: now}, a.task.step
+	return slices.ContainsFunc(p.schedulableWorkers(p.service(r)), func(w *workerState) bool {
+		return w != a.worker && p.accepts(r, a.image, w)
+	})
+}
+
 // haltFillers limits all fillers on a worker to no CPU, regardless of their estimated
 // cost, because a serving task has been over its target for too long. Resumable ones
 // are stopped, so that they continue elsewhere.
@@ -203,6 +231,12 @@
 		return false
 	}
 	a.cpuPercent, a.wasThrottled = percent, true
+	switch {
+	case percent > 0:
+		a.haltedSince = 0
+	case a.haltedSince == 0:
+		a.haltedSince = s.now
+	}
 	s.notes.Throttled = append(s.notes.Throttled, ThrottledNote{Task: a.ref, Worker: a.worker.info.ID, Percent: percent})
 	return true
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -135,6 +135,9 @@
 	throttlePending                          bool
 	throttleUncertainUntil, throttleRepeatAt Instant
 	throttleRetryAt                          Instant
+	// haltedSince is since when cpuPercent has been 0, or when another worker was last looked
+	// for, or zero.
+	haltedSince Instant
 	// wasThrottled is set once cpuPercent was below 100, adopted if an earlier owner
 	// started the attempt.
 	wasThrottled, adopted bool
