Keep the shard of a lone host that reaches few workers

What callers saw: with one host left, and over seven eighths of the workers silent for it, nothing ran for 6 s in each 17 s or so, also not on the workers that did answer.

Cause: an owner that reaches too few workers, or cannot read their entries, gave the shard up before it left the group, whether there was another host or not.

Change: such an owner offers the shard as one does whose records are not taken, and goes on until another host has taken over. Only an owner that may not act gives the shard up at once.

Evidence: TestLoneOwnerKeepsShardWithoutWorkers.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -328,14 +328,13 @@
 	return age < scheduler.AuthorityBound && d.shard.HasQuorum(d.Clock())
 }
 
-// Reasons for which an owner does not serve its shard.
+// Reasons for which an owner does not serve its shard. With the first two it may not act.
 var (
-	errNotClaimed   = errors.New("the ownership is not recorded")
-	errNotConfirmed = errors.New("the ownership is not confirmed")
+	ErrNotClaimed   = errors.New("the ownership is not recorded")
+	ErrNotConfirmed = errors.New("the ownership is not confirmed")
 	errIsolated     = errors.New("nearly no worker answers")
 	errStaleEntries = errors.New("the workers' entries are too old")
-	// ErrUnrecorded does not keep the owner from acting.
-	ErrUnrecorded = errors.New("the store takes no records")
+	errUnrecorded   = errors.New("the store takes no records")
 )
 
 // Unable returns why the host cannot start tasks as the shard's owner or record their ends,
@@ -343,9 +342,9 @@
 func (d *Dispatcher) Unable() error {
 	switch {
 	case !d.claimed.Load():
-		return errNotClaimed
+		return ErrNotClaimed
 	case !d.MayAct():
-		return errNotConfirmed
+		return ErrNotConfirmed
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -356,7 +355,7 @@
 	case !d.shard.CapacitiesKnown(now):
 		return errStaleEntries
 	case d.unrecorded.Load():
-		return ErrUnrecorded
+		return errUnrecorded
 	}
 	return nil
 }
--- a/internal/process/node/isolation_test.go
+++ b/internal/process/node/isolation_test.go
@@ -136,6 +136,33 @@
 	})
 }
 
+// TestLoneOwnerKeepsShardWithoutWorkers: the only host reached few workers, or not their entries.
+// It left the shard to nobody, again and again, and nothing ran on those that it did reach.
+func TestLoneOwnerKeepsShardWithoutWorkers(t *testing.T) {
+	for _, name := range []string{"u", "a"} {
+		for kind, fault := range map[string]func(*testWorkers){
+			"workers": func(w *testWorkers) { w.reachable.Store(1) },
+			"entries": func(w *testWorkers) { w.memoryMB.Store(1000); time.Sleep(2 * time.Second); w.unreadable.Store(true) },
+		} {
+			t.Run(name+" "+kind, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f, reached := newFleetWithWorkers(t, name)
+					fault(reached[name])
+					without := time.Duration(0)
+					for end := time.Now().Add(2 * time.Minute); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+						if f.owner() == "" {
+							without += 10 * time.Millisecond
+						}
+					}
+					must.Zero(t, without)
+					must.Eq(t, 1, f.claims())
+					f.stopAll()
+				})
+			})
+		}
+	}
+}
+
 // TestOwnerWithoutEntriesLeavesShardToOthers: capacities had changed before, and the owner
 // could not read the workers' entries any more. It started nothing and kept the shard.
 func TestOwnerWithoutEntriesLeavesShardToOthers(t *testing.T) {
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -75,8 +75,8 @@
 )
 
 // checkServing gives the shard up once the dispatcher d has been unable to serve it for
-// maxUnable, although the store answers the host's joins. An owner that can only not record
-// goes on until another host has taken over: its tasks would lose their leases.
+// maxUnable, although the store answers the host's joins. One that may still act goes on
+// until another host has taken over: its tasks would lose their leases.
 func (n *Node) checkServing(d *dispatch.Dispatcher) {
 	reason := d.Unable()
 	if reason == nil || n.leaving.Load() {
@@ -88,7 +88,7 @@
 		return
 	}
 	n.unserved.end()
-	if !errors.Is(reason, dispatch.ErrUnrecorded) {
+	if errors.Is(reason, dispatch.ErrNotClaimed) || errors.Is(reason, dispatch.ErrNotConfirmed) {
 		d.Relinquish(reason)
 		n.dropShard(d)
 	}
