Give no further task to a worker that answers neither start nor stop

What callers saw: none was seen to; found by reading. A worker that answers renewals, but no start order, was chosen again and again until it had no room left. Each of these tasks hung there for the 13 s for which its start may still be carried out, although other workers were free.

Cause: only refusals and orders that were not sent count against a worker; a start without an answer does not.

Change: a worker gets no further task while it has answered neither the start of an attempt nor the order to stop it. The first answered stop, or the end of the attempt by the worker's lists, ends that, so that an owner whose own calls are lost sets nobody aside for longer.

--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -53,6 +53,8 @@
 	refusedJob job.ID
 	// refusesConnections is a worker that no start order reaches, or empty.
 	refusesConnections platform.WorkerID
+	// unanswered are the attempts with a start order that got no answer.
+	unanswered map[string]bool
 	// maxStarts is the number of start orders per plan.
 	maxStarts int
 	// workers is the number of workers at the start.
@@ -66,7 +68,7 @@
 	h := &harness{
 		t: t, now: time.Minute, cluster: cluster.New(), maxStarts: unlimitedStarts, workers: workers,
 		entries: map[job.ID]*job.Entry{}, log: map[job.ID]job.Progress{},
-		enrolled: map[platform.WorkerID]job.Enrollment{}, unregistered: map[platform.WorkerID]bool{},
+		enrolled: map[platform.WorkerID]job.Enrollment{}, unregistered: map[platform.WorkerID]bool{}, unanswered: map[string]bool{},
 		config: queue.New(1, []*queue.Queue{{Name: queueName, Service: service, MaxFailures: 3, Stretch: 2, Target: time.Second}},
 			[]*queue.Service{{Name: service}}, queue.Limits{}),
 	}
@@ -201,6 +203,9 @@
 				continue
 			}
 			answer, answered := h.cluster.Start(h.now, start.Worker.ID, start.Order)
+			if !answered {
+				h.unanswered[fmt.Sprint(start.Order.Task, start.Order.Attempt)] = true
+			}
 			h.shard.StartAnswered(h.now, start, answer, orderError(answered))
 		}
 		for _, stop := range a.Stops {
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -99,7 +99,19 @@
 
 // accepts reports whether the worker may get a task now.
 func (h *health) accepts(now Instant, w *workerState) bool {
-	return now >= h.asideUntil && (!h.probing || w.batchAttempts == 0)
+	return now >= h.asideUntil && (!h.probing || w.batchAttempts == 0) && !w.hasUnansweredStop()
+}
+
+// hasUnansweredStop reports whether the worker has answered neither the start order of an
+// attempt nor, so far, the order to stop it. Another task would hang there as well.
+func (w *workerState) hasUnansweredStop() bool {
+	for ref, start := range w.unansweredStarts {
+		a := w.attempts[ref]
+		if a != nil && a.number == start.number && a.phase == stopping && a.startedAt == 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // stopStalled stops tasks that make no progress, so that they start elsewhere. If no
--- a/internal/scheduler/health_test.go
+++ b/internal/scheduler/health_test.go
@@ -129,3 +129,41 @@
 	h.checkViolations()
 	must.Eq(t, job.Done, h.state(id))
 }
+
+// TestWorkerThatAnswersNoStartIsSetAside: a worker answered renewals and no start. It was chosen
+// again for as long as it had room, and each task hung there for 13 s.
+func TestWorkerThatAnswersNoStartIsSetAside(t *testing.T) {
+	h := newHarness(t, 3)
+	h.run(time.Second)
+	h.cluster.SetMute("w00", true)
+	ids := submitStream(h, 250)
+	must.Less(t, 6, len(h.unanswered))
+	h.cluster.SetMute("w00", false)
+	h.run(20 * time.Second)
+	for _, id := range ids {
+		must.Eq(t, job.Done, h.state(id))
+	}
+	started := h.cluster.StartsOn("w00")
+	submitStream(h, 40)
+	must.Greater(t, started, h.cluster.StartsOn("w00"))
+	h.checkViolations()
+}
+
+// TestOwnerThatNoWorkerAnswersSetsNoneAside guards against workers that are set aside because the
+// owner's own calls got no answers for a while.
+func TestOwnerThatNoWorkerAnswersSetsNoneAside(t *testing.T) {
+	h := newHarness(t, 3)
+	h.run(time.Second)
+	for i := range 3 {
+		h.cluster.SetPartitioned(workerInfo(i).ID, true)
+	}
+	submitStream(h, 20)
+	for i := range 3 {
+		h.cluster.SetPartitioned(workerInfo(i).ID, false)
+	}
+	h.run(200 * time.Millisecond)
+	for _, note := range h.shard.TakeNotes().SetAside {
+		t.Errorf("set aside: %v", note)
+	}
+	h.checkViolations()
+}
