--- a/internal/process/dispatch/write_test.go
+++ b/internal/process/dispatch/write_test.go
@@ -204,7 +204,7 @@
 		withConfiguredDispatcher(t, &faultyStore{}, change, func(d *Dispatcher) {
 			must.NoError(t, d.Restore(value))
 			for range 3 {
-				_, err = d.timedWrite(time.Second)
+				_, err := d.timedWrite(time.Second)
 				must.NoError(t, err)
 				time.Sleep(2 * learnedRecordPeriod)
 			}
