Refuse jobs whose tasks no start order can reach in time

Cause: admission compared only the waiting tasks that could still be in time with the starts of their kind. Overdue tasks, steps to come and long-running tasks did not count, nothing was refused in an owner's first 3 s, and the backlog of starts grew for as long as jobs arrived. Tasks that come last in the order of steps had a quarter of the orders, less than was accepted of them.

Change: while each plan leaves tasks over because no start orders are left, the rate of the orders is measured, and all start orders that accepted jobs still need are counted by when their tasks are expected to become startable. A job is refused at once if these hold up a task for more than half of the 3 s that the platform's rules allow; Retry-After is the time until they no longer do, within 1 to 5 s. Nothing is refused before orders have been short for 1 s on end, or after 1 s without a plan. Meanwhile starved work gets every second order instead of every fourth, and long-running tasks count as starved after 1 s. Where start orders suffice nothing changes.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -15,8 +15,8 @@
 	Admitted bool
 	// RetryAfter is how long the caller of a refused job should wait before it retries.
 	RetryAfter time.Duration
-	// Wait is the expected time that the job's tasks would wait for workers, Slack the
-	// time that its latency objective leaves for that.
+	// Wait is the expected time that the job's tasks would wait for workers or start orders,
+	// Slack the time that its latency objective or maxStartDelay leaves for that.
 	Wait, Slack time.Duration
 	Reason      string
 }
@@ -25,12 +25,14 @@
 const (
 	reasonLateStart = "would wait beyond its latency objective"
 	reasonRoom      = "no room for work without end"
+	reasonStarts    = "too few start orders can be sent"
 )
 
 const (
 	// startRateWindow is the time constant over which starts are counted.
 	startRateWindow = 2 * time.Second
-	// admissionWarmUp is how long a new owner measures before it refuses any job.
+	// admissionWarmUp is how long a new owner measures before it refuses a job for want of
+	// workers.
 	admissionWarmUp = 3 * time.Second
 	// batchPeakDecay is the time constant with which the peak of batch work decays.
 	// batchPeakFactor is the multiple of that peak for which capacity is kept free.
@@ -101,9 +103,16 @@
 
 // Admit decides on a job that is not stored yet. A job that cannot meet its objective
 // is refused immediately, so that the jobs before it meet theirs; long-running work is
-// refused when batch work needs the remaining capacity.
+// refused when batch work needs the remaining capacity, and any job when too few start
+// orders can be sent for those before it.
 func (s *Shard) Admit(now Instant, sub *job.Submission) Admission {
-	if now < s.takenOverAt+admissionWarmUp || sub.Spec.Occurrences > 0 {
+	if sub.Spec.Occurrences > 0 {
+		return Admission{Admitted: true}
+	}
+	if a := s.admitStarts(now); !a.Admitted {
+		return a
+	}
+	if now < s.takenOverAt+admissionWarmUp {
 		return Admission{Admitted: true}
 	}
 	if sub.Spec.LongRunning() {
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -137,6 +137,7 @@
 		s.periodic[j.id] = j
 	} else {
 		s.addOccurrence(now, j)
+		s.addStartDemand(j)
 	}
 	s.claimOrphans(now, j)
 	if e.Cancelled {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -85,6 +85,9 @@
 		unplaceable: map[*stepRun]bool{}, freeServices: map[platform.ServiceName]bool{},
 	}
 	p.place()
+	if s.startOrders.planned(now, p.issued, p.cutShort && s.waiting.hasTasks()) && full {
+		s.updateStartDemand()
+	}
 	if full {
 		p.drainWorkers()
 	}
@@ -186,6 +189,8 @@
 	// waiting task was not tried because none were left.
 	startsLeft int
 	cutShort   bool
+	// issued counts the start orders of this plan.
+	issued int
 	// unplaceable are the starved steps for which this plan has found no worker.
 	unplaceable map[*stepRun]bool
 	// freeServices caches mostlyFree by service.
@@ -320,6 +325,7 @@
 // issueStart sends the start order of an assumed attempt.
 func (p *placement) issueStart(a *attempt) {
 	p.startsLeft--
+	p.issued++
 	a.worker.placedAt, a.task.heldSince = p.now, 0
 	if a.task.isSuspect() {
 		a.worker.soloUntil = p.now + settleTime
--- a/internal/scheduler/priority.go
+++ b/internal/scheduler/priority.go
@@ -66,17 +66,25 @@
 	starvedAfter = 2 * time.Second
 	// startsPerStarved is the number of start orders of which one is for starved steps.
 	startsPerStarved = 4
+	// heldUpAfter replaces starvedAfter for long-running tasks while start orders hold tasks
+	// up: each of them, not only one of a job, needs an order within the 3 s.
+	heldUpAfter = time.Second
+	// startsPerHeldUp replaces startsPerStarved while start orders hold tasks up: long-running
+	// and overdue work that was accepted gets no other orders then.
+	startsPerHeldUp = 2
 )
 
 // starvedSince returns since when a step with waiting tasks has been starved of workers,
-// and whether it is starved now.
-func (r *stepRun) starvedSince(now Instant) (Instant, bool) {
+// and whether it is starved now. heldUp is set while start orders hold tasks up.
+func (r *stepRun) starvedSince(now Instant, heldUp bool) (Instant, bool) {
 	if len(r.startable) == 0 || r.job.liveAttempts > 0 && !r.spec.LongRunning {
 		return 0, false
 	}
 	since := r.startable[0].queuedAt
 	if !r.spec.LongRunning {
 		since = max(since, r.job.idleSince)
+	} else if heldUp {
+		return since, now-since >= heldUpAfter
 	}
 	return since, now-since >= starvedAfter
 }
@@ -85,14 +93,18 @@
 // first, with a share of the start orders.
 func (p *placement) placeStarved() {
 	s := p.shard
-	s.startsInOrder = min(s.startsInOrder, startsPerStarved)
-	share := (s.startsInOrder + p.startsLeft) / startsPerStarved
+	perStarved, heldUp := startsPerStarved, s.startOrders.holdUp
+	if heldUp {
+		perStarved = startsPerHeldUp
+	}
+	s.startsInOrder = min(s.startsInOrder, perStarved)
+	share := (s.startsInOrder + p.startsLeft) / perStarved
 	if share == 0 {
 		return
 	}
 	var starved []starvedStep
 	for _, r := range s.waiting.steps {
-		if since, ok := r.starvedSince(p.now); ok && (r.spec.LongRunning || p.mostlyFree(r)) {
+		if since, ok := r.starvedSince(p.now, heldUp); ok && (r.spec.LongRunning || p.mostlyFree(r)) {
 			starved = append(starved, starvedStep{r, since})
 		}
 	}
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -68,6 +68,7 @@
 	// startsInOrder counts the start orders issued since the last one of a starved step.
 	startsInOrder int
 	startRates    map[capacityClass]*startRate
+	startOrders   startOrders
 	// batchReserved is the CPU that batch tasks have reserved, in thousandths of a
 	// core.
 	batchReserved int64
