Log steps that wait because no start order is left (7113)

Such a plan now notes the step that has waited longest, with no_order set in 7113. A step is noted after 1 s and once a second, as before, and at most five a second are noted in all, since hundreds may wait.

Evidence: TestStepWithoutStartOrdersIsNotNoted finds no note without the change and 5 to 11 in 2 s with it.

--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -76,7 +76,7 @@
 		event.StepWaiting.Log(d.Logger, logrus.Fields{
 			"job": note.Job, "occurrence": note.Occurrence, "step": note.Step, "waiting": note.Waiting, "waited_ms": note.Waited.Milliseconds(),
 			"idle_ms": note.Idle.Milliseconds(), "no_room": note.NoRoom, "harmful": note.Harmful, "unfit": note.Unfit, "unheard": note.Unreconciled,
-			"entries_age_ms": note.EntriesAge.Milliseconds(),
+			"entries_age_ms": note.EntriesAge.Milliseconds(), "no_order": note.HeldUp,
 		})
 	}
 }
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -77,6 +77,8 @@
 	plannedAt Instant
 	// rate counts the orders since heldUpSince.
 	rate startRate
+	// notedAt is the time of the last note on a step that they hold up.
+	notedAt Instant
 	// demand is what the jobs need. It is kept while holdUp is set.
 	demand startDemand
 }
--- a/internal/scheduler/demand_test.go
+++ b/internal/scheduler/demand_test.go
@@ -131,3 +131,25 @@
 	must.LessEq(t, maxIdle, w.longest, must.Sprintf("%s waited for %v", w.task, w.longest))
 	h.checkViolations()
 }
+
+// TestStepWithoutStartOrdersIsNotNoted: steps that waited for a start order were not noted.
+func TestStepWithoutStartOrdersIsNotNoted(t *testing.T) {
+	heldUp := func(maxStarts int) (notes int) {
+		h := newNarrowHarness(t)
+		h.maxStarts = maxStarts
+		h.submitMany(100, batchStep(10))
+		h.run(3 * time.Second)
+		for _, note := range h.shard.TakeNotes().Held {
+			if note.HeldUp {
+				must.GreaterEq(t, time.Second, note.Waited)
+				notes++
+			}
+		}
+		return notes
+	}
+	// Steps may be noted after 1 s, and then five times a second.
+	const maxNotes = 1 + 2*5
+	must.Between(t, 5, heldUp(1), maxNotes)
+	must.Between(t, 5, heldUp(0), maxNotes)
+	must.Zero(t, heldUp(unlimitedStarts))
+}
--- a/internal/scheduler/notes.go
+++ b/internal/scheduler/notes.go
@@ -104,6 +104,8 @@
 	Waited     time.Duration
 	// Idle is the time for which nothing of the job has run, or zero.
 	Idle time.Duration
+	// HeldUp is set if the step was not tried on any worker because no start order was left.
+	HeldUp bool
 	// NoRoom, Harmful and Unfit count the workers by the first reason for which they
 	// cannot run a task of the step.
 	NoRoom, Harmful, Unfit int
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -99,6 +99,7 @@
 func (p *placement) place() {
 	if p.startsLeft <= 0 {
 		p.cutShort, p.shard.dirty.placeAll = true, p.full
+		p.noteHeldUp(p.shard.waiting.steps)
 		return
 	}
 	p.shard.dirty.placeAll = false
@@ -120,7 +121,7 @@
 			p.placeStep(r)
 		}
 		if len(r.startable) > 0 {
-			p.noteWaiting(r)
+			p.noteWaiting(r, false)
 		}
 	}
 }
@@ -129,6 +130,7 @@
 // to be tried on every worker, they still are; otherwise the dirty set is kept.
 func (p *placement) leaveSteps(steps []*stepRun) {
 	p.cutShort = true
+	p.noteHeldUp(steps)
 	if !p.full {
 		return
 	}
@@ -140,16 +142,45 @@
 // waitingNoteInterval is the time between two notes on the same waiting step.
 const waitingNoteInterval = time.Second
 
+// heldUpNoteInterval is the time between two notes on steps for which no start orders are
+// left, since there may be hundreds of them.
+const heldUpNoteInterval = 200 * time.Millisecond
+
+// noteHeldUp adds a note on one of the steps for which no start orders are left: the one
+// that has waited longest of those not noted lately.
+func (p *placement) noteHeldUp(steps []*stepRun) {
+	notedAt := &p.shard.startOrders.notedAt
+	if p.now-*notedAt < heldUpNoteInterval {
+		return
+	}
+	var longest *stepRun
+	for _, r := range steps {
+		if p.mayNote(r) && (longest == nil || r.startable[0].queuedAt < longest.startable[0].queuedAt) {
+			longest = r
+		}
+	}
+	if longest != nil {
+		*notedAt = p.now
+		p.noteWaiting(longest, true)
+	}
+}
+
+// mayNote reports whether the tasks of a step have waited for a long time without a note.
+func (p *placement) mayNote(r *stepRun) bool {
+	return len(r.startable) > 0 && p.now-r.startable[0].queuedAt >= waitingNoteInterval && p.now-r.waitingNotedAt >= waitingNoteInterval
+}
+
 // noteWaiting adds a note on why the tasks of a step are waiting, if they have waited
-// for a long time.
-func (p *placement) noteWaiting(r *stepRun) {
-	t := r.startable[0]
-	if p.now-t.queuedAt < waitingNoteInterval || p.now-r.waitingNotedAt < waitingNoteInterval {
+// for a long time. heldUp is set if no start order is left for them.
+func (p *placement) noteWaiting(r *stepRun, heldUp bool) {
+	if !p.mayNote(r) {
 		return
 	}
+	t := r.startable[0]
 	r.waitingNotedAt = p.now
 	note := WaitingNote{
 		Job: r.job.id, Occurrence: r.occurrence, Step: r.stepIndex, Waiting: len(r.startable), Waited: p.now - t.queuedAt,
+		HeldUp: heldUp,
 	}
 	if r.job.liveAttempts == 0 {
 		note.Idle = p.now - max(t.queuedAt, r.job.idleSince)
