--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -85,6 +85,9 @@
 		unplaceable: map[*stepRun]bool{}, freeServices: map[platform.ServiceName]bool{},
 	}
 	p.place()
+	if s.startOrders.planned(now, p.issued, p.cutShort && s.waiting.hasTasks()) && full {
+		s.updateStartDemand()
+	}
 	if full {
 		p.drainWorkers()
 	}
@@ -96,6 +99,7 @@
 func (p *placement) place() {
 	if p.startsLeft <= 0 {
 		p.cutShort, p.shard.dirty.placeAll = true, p.full
+		p.noteHeldUp(p.shard.waiting.steps)
 		return
 	}
 	p.shard.dirty.placeAll = false
@@ -117,7 +121,7 @@
 			p.placeStep(r)
 		}
 		if len(r.startable) > 0 {
-			p.noteWaiting(r)
+			p.noteWaiting(r, false)
 		}
 	}
 }
@@ -126,6 +130,7 @@
 // to be tried on every worker, they still are; otherwise the dirty set is kept.
 func (p *placement) leaveSteps(steps []*stepRun) {
 	p.cutShort = true
+	p.noteHeldUp(steps)
 	if !p.full {
 		return
 	}
@@ -137,16 +142,45 @@
 // waitingNoteInterval is the time between two notes on the same waiting step.
 const waitingNoteInterval = time.Second
 
+// heldUpNoteInterval is the time between two notes on steps for which no start orders are
+// left, since there may be hundreds of them.
+const heldUpNoteInterval = 200 * time.Millisecond
+
+// noteHeldUp adds a note on one of the steps for which no start orders are left: the one
+// that has waited longest of those not noted lately.
+func (p *placement) noteHeldUp(steps []*stepRun) {
+	notedAt := &p.shard.startOrders.notedAt
+	if p.now-*notedAt < heldUpNoteInterval {
+		return
+	}
+	var longest *stepRun
+	for _, r := range steps {
+		if p.mayNote(r) && (longest == nil || r.startable[0].queuedAt < longest.startable[0].queuedAt) {
+			longest = r
+		}
+	}
+	if longest != nil {
+		*notedAt = p.now
+		p.noteWaiting(longest, true)
+	}
+}
+
+// mayNote reports whether the tasks of a step have waited for a long time without a note.
+func (p *placement) mayNote(r *stepRun) bool {
+	return len(r.startable) > 0 && p.now-r.startable[0].queuedAt >= waitingNoteInterval && p.now-r.waitingNotedAt >= waitingNoteInterval
+}
+
 // noteWaiting adds a note on why the tasks of a step are waiting, if they have waited
-// for a long time.
-func (p *placement) noteWaiting(r *stepRun) {
-	t := r.startable[0]
-	if p.now-t.queuedAt < waitingNoteInterval || p.now-r.waitingNotedAt < waitingNoteInterval {
+// for a long time. heldUp is set if no start order is left for them.
+func (p *placement) noteWaiting(r *stepRun, heldUp bool) {
+	if !p.mayNote(r) {
 		return
 	}
+	t := r.startable[0]
 	r.waitingNotedAt = p.now
 	note := WaitingNote{
 		Job: r.job.id, Occurrence: r.occurrence, Step: r.stepIndex, Waiting: len(r.startable), Waited: p.now - t.queuedAt,
+		HeldUp: heldUp,
 	}
 	if r.job.liveAttempts == 0 {
 		note.Idle = p.now - max(t.queuedAt, r.job.idleSince)
@@ -186,6 +220,8 @@
 	// waiting task was not tried because none were left.
 	startsLeft int
 	cutShort   bool
+	// issued counts the start orders of this plan.
+	issued int
 	// unplaceable are the starved steps for which this plan has found no worker.
 	unplaceable map[*stepRun]bool
 	// freeServices caches mostlyFree by service.
@@ -320,6 +356,7 @@
 // issueStart sends the start order of an assumed attempt.
 func (p *placement) issueStart(a *attempt) {
 	p.startsLeft--
+	p.issued++
 	a.worker.placedAt, a.task.heldSince = p.now, 0
 	if a.task.isSuspect() {
 		a.worker.soloUntil = p.now + settleTime
