--- a/internal/experiment/day/capacity_test.go
+++ b/internal/experiment/day/capacity_test.go
@@ -21,3 +21,34 @@
 		})
 	}
 }
+
+// playFirstChange plays a day on which the capacities of workers change for the first time
+// during a fault of the store.
+func playFirstChange(t *testing.T, kind Kind, host int) {
+	t.Parallel()
+	runDay(t, Plan{
+		Hosts: 3, Workers: 12, Seconds: 16, QuietSeconds: 120, JobsPerSecond: 20, LongRunningShare: 0.2, Seed: 1,
+		Faults: []Fault{
+			{AtMS: 6000, ForMS: 9000, Kind: kind, Host: host},
+			{AtMS: 6500, ForMS: 8000, Kind: ShrinkWorkers, CapacityPercent: 30},
+		},
+	})
+}
+
+// TestFirstCapacityChangeWhileStoreIsAway: an owner that had never seen a capacity change went
+// on starting tasks while it could not read the entries, and workers had shrunk.
+func TestFirstCapacityChangeWhileStoreIsAway(t *testing.T) {
+	t.Parallel()
+	t.Run("down", func(t *testing.T) { playFirstChange(t, StoreDown, AllHosts) })
+	t.Run("busy", func(t *testing.T) { playFirstChange(t, StoreBusy, AllHosts) })
+	t.Run("owner gets no answers", func(t *testing.T) { playFirstChange(t, StoreLost, Owner) })
+}
+
+// TestFirstCapacityChangeWhileOwnerLacksStore: an owner that could not reach the store started
+// tasks on old capacities instead of leaving the shard to a host that could.
+func TestFirstCapacityChangeWhileOwnerLacksStore(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []Kind{StoreDown, StoreBusy, CutHost} {
+		t.Run(string(kind), func(t *testing.T) { playFirstChange(t, kind, Owner) })
+	}
+}
