--- a/internal/experiment/day/link.go
+++ b/internal/experiment/day/link.go
@@ -121,6 +121,8 @@
 			return fleet.RenewReply{}, awaitAnswer(false)
 		}
 		bootCount = reply.Started
+		// The worker forgets ends when the order arrives, not those of the long poll.
+		o.Acknowledged = 0
 		if !answered || len(reply.Ended) > 0 || l.sim.now() >= deadline || ctx.Err() != nil {
 			return reply, awaitAnswer(answered)
 		}
