Record which just started tasks were on workers that fall silent together

Cause: with over a third of the workers silent the owner takes itself for cut off and records none of their attempts, so the next owner has nothing to count.

Change: of such workers, those are recorded on which an attempt was not known to have run for settleTime. Only such attempts are likely causes, and there are few.

Evidence: TestCrashesOfManyWorkersAtOnceAreCounted fails without the change (the job still runs after three crashes). TestCrashesOfWorkersThatReturnToNextOwnerCount came about through the same gap: its first history now ends at the second crash, so it plays tasks that had run for a while, and checks each count by itself; on the code before it fails. All of internal/scheduler passes.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -124,7 +124,8 @@
 
 // recordLoss records the attempts of a worker that has ceased to answer. If a large part of
 // the workers has, it is probably the owner that is cut off, and their records would fill
-// its link.
+// its link: only workers are recorded then on which a task had just started. Those are few,
+// and one of them may be crashed by that task.
 func (s *Shard) recordLoss(w *workerState) {
 	if !w.enrolled || w.gone || len(w.attempts) == 0 {
 		return
@@ -135,12 +136,23 @@
 			silent++
 		}
 	}
-	if silent > 1 && silentFactor*silent > len(s.workers) {
+	if silent > 1 && silentFactor*silent > len(s.workers) && !w.hasUnsettled() {
 		return
 	}
 	s.journal.enroll(w)
 }
 
+// hasUnsettled reports whether an attempt may be running on a worker that was not known to
+// have run for settleTime when the worker last answered.
+func (w *workerState) hasUnsettled() bool {
+	for _, a := range w.attempts {
+		if a.mayRun() && !a.settledBy(w.heardAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // takeLost returns the attempts to be recorded as lost: those of a worker that does not
 // answer.
 func (w *workerState) takeLost() []job.LostAttempt {
