Move one halted filler at a time

Fillers halted on one worker together were all stopped, and lost their work, for the same single free place elsewhere. Each check looked at all workers, for each halted task.

Change: the shard checks one halted task a second, by which time the one that moved has started.

Evidence: TestHaltedFillersDoNotMoveToSamePlace, four halted fillers and room for one: 4 are stopped without the change, 1 with it. TestHaltedFillerMovesToFreeWorker still sees all four move.

--- a/internal/scheduler/interference_test.go
+++ b/internal/scheduler/interference_test.go
@@ -205,10 +205,9 @@
 	}
 }
 
-// TestHaltedFillerMovesToFreeWorker: a filler without checkpoints was halted beside a serving
-// task that stayed close to its target, and waited there for ever, though another worker was free.
-func TestHaltedFillerMovesToFreeWorker(t *testing.T) {
-	h := newHarness(t, 1)
+// newHaltedFillers returns one worker with four halted fillers without checkpoints.
+func newHaltedFillers(t *testing.T) (h *harness, id job.ID, step job.Step) {
+	h = newHarness(t, 1)
 	degradedFrom := h.now + 10*time.Second
 	h.cluster.SetInterference(func(*job.Step, []cluster.Filler) float64 {
 		if h.now <= degradedFrom {
@@ -219,9 +218,9 @@
 	h.submit(firstID, nil, nil, servingStep(3, "web"))
 	h.submit("00000000000000a2", fixedLength(0.7), nil, fillerStep(30, "quiet"))
 	h.run(8 * time.Second)
-	step := fillerStep(4, "quiet")
+	step = fillerStep(4, "quiet")
 	step.Checkpointing = false
-	id := h.submit("00000000000000a3", fixedLength(100), nil, step)
+	id = h.submit("00000000000000a3", fixedLength(100), nil, step)
 	h.run(2 * time.Second)
 	must.Positive(t, countActiveFillers(h.cluster, "w00"))
 	h.run(20 * time.Second)
@@ -230,6 +229,13 @@
 	for i := range 4 {
 		must.Eq(t, 1, h.cluster.AttemptOf("w00", job.TaskRef{Job: id, Index: i}))
 	}
+	return h, id, step
+}
+
+// TestHaltedFillerMovesToFreeWorker: a filler without checkpoints was halted beside a serving
+// task that stayed close to its target, and waited there for ever, though another worker was free.
+func TestHaltedFillerMovesToFreeWorker(t *testing.T) {
+	h, id, _ := newHaltedFillers(t)
 	h.cluster.AddWorker(h.now, workerInfo(1))
 	h.syncWorkers()
 	h.run(10 * time.Second)
@@ -238,6 +244,26 @@
 	h.checkViolations()
 }
 
+// TestHaltedFillersDoNotMoveToSamePlace: all fillers halted on a worker were stopped, and lost their
+// work, while only one of them found room elsewhere.
+func TestHaltedFillersDoNotMoveToSamePlace(t *testing.T) {
+	h, id, step := newHaltedFillers(t)
+	small := workerInfo(1)
+	small.Capacity.MemoryMB = step.Size.MemoryMB
+	h.cluster.AddWorker(h.now, small)
+	h.syncWorkers()
+	h.run(10 * time.Second)
+	must.Eq(t, 1, countActiveFillers(h.cluster, "w01"))
+	undisturbed := 0
+	for i := range 4 {
+		if h.cluster.AttemptOf("w00", job.TaskRef{Job: id, Index: i}) == 1 {
+			undisturbed++
+		}
+	}
+	must.Eq(t, 3, undisturbed)
+	h.checkViolations()
+}
+
 // TestServingTasksAreGroupedByImage: whether images interfere depends on the pair, so
 // each worker should get serving tasks of one image.
 func TestServingTasksAreGroupedByImage(t *testing.T) {
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -77,7 +77,9 @@
 	batchPeak   float64
 	batchPeakAt Instant
 	headroom    *headroom.Model
-	lengths     *length.Model
+	// haltedCheckedAt is when a halted task was last checked for room elsewhere.
+	haltedCheckedAt Instant
+	lengths         *length.Model
 
 	// heldEnds are the ends of attempts of jobs that the shard does not have.
 	heldEnds []heldEnd
--- a/internal/scheduler/throttle.go
+++ b/internal/scheduler/throttle.go
@@ -49,6 +49,9 @@
 	// maxHalted is how long a task without checkpoints may have no CPU before it is stopped,
 	// to start again where there is headroom for it.
 	maxHalted = 3 * time.Second
+	// haltedCheckInterval is the time between two looks for room for a halted task. The one
+	// that moved has started elsewhere by then.
+	haltedCheckInterval = time.Second
 	// minRaisePercent is the least raise, in percentage points, that is worth an order.
 	minRaisePercent = 20
 )
@@ -125,13 +128,18 @@
 }
 
 // moveHaltedFillers stops the tasks without checkpoints that have been halted for maxHalted
-// while another worker has room for them: the headroom here need not come back.
+// while another worker has room for them: the headroom here need not come back. One task is
+// checked per haltedCheckInterval, so that several do not move to the same free place.
 func (s *Shard) moveHaltedFillers(now Instant, w *workerState) {
 	for _, a := range slices.Clone(w.colocation.fillers) {
 		step := a.task.step.spec
 		if a.phase != running || a.haltedSince == 0 || now-a.haltedSince < maxHalted || step.LongRunning || step.Gang {
 			continue
 		}
+		if now-s.haltedCheckedAt < haltedCheckInterval {
+			return
+		}
+		s.haltedCheckedAt = now
 		if s.fitsElsewhere(now, a) {
 			s.stopAttempt(now, a, reasonInterference)
 		} else {
