Bound what an owner that is cut off records of silent workers

At a busy site nearly each worker has a task that had just started, so an owner that is cut off from its workers marked all of their records as urgent, which fills a narrow link.

Change: of over a third of the workers silent, only up to 16 are recorded so.

Evidence: TestCutOffOwnerRecordsFewWorkers, 60 workers cut off at once: 60 records without the change, 20 with it, a third of the workers as before. TestCrashesOfManyWorkersAtOnceAreCounted passes.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -38,6 +38,9 @@
 	// silentFactor says which part of the workers has to be silent for the owner to count as
 	// cut off, as its inverse.
 	silentFactor = 3
+	// maxSilentRecorded is the number of silent workers up to which an owner that counts as
+	// cut off still records those with a task that had just started.
+	maxSilentRecorded = 16
 	// lostRunRetention is how long the owner remembers a lost run. Workers that crash
 	// are back after some seconds.
 	lostRunRetention = time.Minute
@@ -132,8 +135,8 @@
 
 // recordLoss records the attempts of a worker that has ceased to answer. If a large part of
 // the workers has, it is probably the owner that is cut off, and their records would fill
-// its link: only workers are recorded then on which a task had just started. Those are few,
-// and one of them may be crashed by that task.
+// its link: only up to maxSilentRecorded workers are recorded then on which a task had just
+// started, since one of them may be crashed by that task.
 func (s *Shard) recordLoss(w *workerState) {
 	if !w.enrolled || w.gone || len(w.attempts) == 0 {
 		return
@@ -144,7 +147,7 @@
 			silent++
 		}
 	}
-	if silent > 1 && silentFactor*silent > len(s.workers) && !w.hasUnsettled() {
+	if silent > 1 && silentFactor*silent > len(s.workers) && (silent > maxSilentRecorded || !w.hasUnsettled()) {
 		return
 	}
 	s.journal.enroll(w)
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -394,3 +394,24 @@
 	must.LessEq(t, maxCrashesPerTask, h.cluster.Starts())
 	h.checkViolations()
 }
+
+// TestCutOffOwnerRecordsFewWorkers guards against an owner that is cut off from all workers and
+// fills its link with records of what had just started on them.
+func TestCutOffOwnerRecordsFewWorkers(t *testing.T) {
+	const workers, maxRecorded = 60, 60 / 3
+	h := newHarness(t, workers)
+	h.run(time.Second)
+	h.submit(firstID, fixedLength(20), nil, maxOnePerWorker(batchStep(workers)))
+	h.run(2 * tickInterval)
+	for i := range workers {
+		h.cluster.SetPartitioned(workerInfo(i).ID, true)
+	}
+	h.run(3 * time.Second)
+	recorded := 0
+	for _, e := range h.enrolled {
+		if len(e.Lost) > 0 {
+			recorded++
+		}
+	}
+	must.LessEq(t, maxRecorded, recorded)
+}
