--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -71,6 +71,10 @@
 	stopping atomic.Bool
 	// claimed is set once the ownership record is in the log.
 	claimed atomic.Bool
+	// entriesSeen is set once workers' entries could be read.
+	entriesSeen atomic.Bool
+	// unrecorded is set while records wait that the store has refused or not answered.
+	unrecorded atomic.Bool
 	// waitingGauges are the gauges of waiting tasks, by priority. Only planLoop uses them.
 	waitingGauges map[int]metrics.Gauge
 	// learnedRecordedAt is when the learned state was last recorded, lastExpiryAt when
@@ -296,6 +300,7 @@
 			s.EntriesRead(requested)
 		}
 	})
+	d.entriesSeen.Store(true)
 }
 
 // SetCordoned sets the workers that get no new tasks and from which tasks are moved
@@ -326,21 +331,26 @@
 	return age < scheduler.AuthorityBound && d.shard.HasQuorum(d.Clock())
 }
 
-// Reasons for which an owner does not serve its shard.
+// Reasons for which an owner does not serve its shard. With the first two it may not act.
 var (
-	errNotClaimed   = errors.New("the ownership is not recorded")
-	errNotConfirmed = errors.New("the ownership is not confirmed")
+	ErrNotClaimed   = errors.New("the ownership is not recorded")
+	ErrNotConfirmed = errors.New("the ownership is not confirmed")
+	errNoEntries    = errors.New("no entries of workers could be read")
 	errIsolated     = errors.New("nearly no worker answers")
 	errStaleEntries = errors.New("the workers' entries are too old")
+	errUnrecorded   = errors.New("the store takes no records")
 )
 
-// Unable returns why the host cannot start tasks as the shard's owner, or nil if it can.
+// Unable returns why the host cannot start tasks as the shard's owner or record their ends,
+// or nil if it can.
 func (d *Dispatcher) Unable() error {
 	switch {
 	case !d.claimed.Load():
-		return errNotClaimed
+		return ErrNotClaimed
 	case !d.MayAct():
-		return errNotConfirmed
+		return ErrNotConfirmed
+	case !d.entriesSeen.Load():
+		return errNoEntries
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -350,6 +360,8 @@
 		return errIsolated
 	case !d.shard.CapacitiesKnown(now):
 		return errStaleEntries
+	case d.unrecorded.Load():
+		return errUnrecorded
 	}
 	return nil
 }
--- a/internal/process/dispatch/record.go
+++ b/internal/process/dispatch/record.go
@@ -147,6 +147,7 @@
 func (d *Dispatcher) recordProgress(w *store.Writer) {
 	b := d.collectBatch()
 	if len(b.records) == 0 {
+		d.unrecorded.Store(false)
 		return
 	}
 	started := d.Clock()
@@ -204,7 +205,7 @@
 	}
 	d.addWorkerRecords(&b)
 	d.addExpiredJobs(&b)
-	if len(b.records) > 0 {
+	if len(b.records) > 0 || b.progress.Models {
 		d.addLearnedState(&b)
 	}
 	return b
@@ -223,17 +224,20 @@
 	}
 }
 
-// addLearnedState adds the shard's learned state once per learnedRecordPeriod and to
-// the final record.
+// addLearnedState adds the shard's learned state once per learnedRecordPeriod, to the final
+// record, and whenever the shard demands it.
 func (d *Dispatcher) addLearnedState(b *batch) {
 	now := d.Clock()
-	if now-d.learnedRecordedAt < learnedRecordPeriod && !d.stopping.Load() {
+	if now-d.learnedRecordedAt < learnedRecordPeriod && !d.stopping.Load() && !b.progress.Models {
 		return
 	}
 	d.learnedRecordedAt = now
 	d.mu.Lock()
 	value, err := d.shard.LearnedModels()
 	d.mu.Unlock()
+	if err == nil && len(value) > job.MaxRecordBytes {
+		err = fmt.Errorf("the learned state takes %d bytes, at most %d are allowed", len(value), job.MaxRecordBytes)
+	}
 	if err != nil {
 		event.RecordNotEncoded.Log(d.Logger, logrus.Fields{"error": err})
 		return
@@ -272,28 +276,40 @@
 // sequence number, so that nothing is written twice.
 func (d *Dispatcher) appendRecords(w *store.Writer, records []store.Record) error {
 	outcomeUnknown := false
-	for attempt := 0; ; attempt++ {
+	for {
 		_, err := d.Store.Append(d.ctx, d.Partition, records, w)
 		var fenced *store.FencedError
 		var sequence *store.SequenceError
 		switch {
 		case err == nil:
 			w.Sequence++
+			d.unrecorded.Store(false)
 			return nil
 		case errors.As(err, &fenced):
 			return errors.Join(ErrFenced, err)
 		case errors.As(err, &sequence):
 			return err
-		case errors.Is(err, store.ErrUnavailable) && !outcomeUnknown, errors.Is(err, store.ErrRejected):
+		case errors.Is(err, store.ErrRejected):
 			// An earlier try without an answer was rejected as well.
 			return err
 		}
-		outcomeUnknown = true
-		if attempt == 0 && d.ctx.Err() == nil {
-			event.RecordDelayed.Log(d.Logger, logrus.Fields{"records": len(records), "error": err})
+		d.reportUnrecorded(len(records), err)
+		if errors.Is(err, store.ErrUnavailable) && !outcomeUnknown {
+			return err
 		}
+		outcomeUnknown = true
 		if err := pause.For(d.ctx, recordRetryDelay); err != nil {
 			return err
 		}
 	}
 }
+
+// reportUnrecorded reports that the store has refused an append or not answered it. That the
+// store is full is no reason to leave the shard to another host.
+func (d *Dispatcher) reportUnrecorded(records int, err error) {
+	if d.ctx.Err() != nil || d.unrecorded.Load() {
+		return
+	}
+	event.RecordDelayed.Log(d.Logger, logrus.Fields{"records": records, "error": err})
+	d.unrecorded.Store(!errors.Is(err, store.ErrFull))
+}
--- a/internal/process/dispatch/write_test.go
+++ b/internal/process/dispatch/write_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"os"
 	"slices"
@@ -10,12 +11,14 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/store"
 	"github.com/siskinvane/siskinvane/internal/scheduler"
+	"github.com/siskinvane/siskinvane/internal/scheduler/headroom"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
@@ -26,8 +29,12 @@
 	os.Exit(m.Run())
 }
 
+// maxRecordBytes is the largest record that a faultyStore takes.
+const maxRecordBytes = 256 << 10
+
 // faultyStore is a store whose appends fail while unavailable is set, or end without a
 // known outcome while unresponsive is set. Appends that contain refusedKey always fail.
+// Appends that contain a record of more than maxRecordBytes are rejected.
 type faultyStore struct {
 	store.Store
 	unavailable, unresponsive atomic.Bool
@@ -37,7 +44,10 @@
 // Append implements store.Store.
 func (s *faultyStore) Append(ctx context.Context, _ store.Partition, records []store.Record, _ *store.Writer) (platform.Offset, error) {
 	refused := slices.ContainsFunc(records, func(r store.Record) bool { return r.Key == s.refusedKey })
+	tooLarge := slices.ContainsFunc(records, func(r store.Record) bool { return len(r.Value) > maxRecordBytes })
 	switch {
+	case tooLarge:
+		return 0, store.ErrRejected
 	case s.unavailable.Load() || refused:
 		return 0, store.ErrUnavailable
 	case s.unresponsive.Load():
@@ -149,3 +159,56 @@
 	must.NoError(t, writeErr)
 	must.True(t, inTime)
 }
+
+// TestLargeProgressBlocksNoOtherRecords: the progress of a job with many stopped tasks was
+// rejected by the store, again and again, and with it the records of all other jobs.
+func TestLargeProgressBlocksNoOtherRecords(t *testing.T) {
+	withDispatcher(t, &faultyStore{}, func(d *Dispatcher) {
+		large := job.Entry{ID: "00000000000000a1", Submission: &job.Submission{
+			MaxFailures: 1, TargetMS: 1000, Spec: job.Spec{Steps: []job.Step{{Tasks: 10_000}, {Tasks: 10_000}}},
+		}}
+		large.Progress = job.Progress{State: job.Running, Checkpoints: map[int]string{}}
+		for i := range 20_000 {
+			large.Progress.Checkpoints[i] = fmt.Sprintf("%016x", i)
+		}
+		d.AddJobs([]job.Entry{large})
+		large.Cancelled = true
+		d.AddJobs([]job.Entry{large})
+		_, err := d.timedWrite(time.Second)
+		must.NoError(t, err)
+	})
+}
+
+// TestLargeLearnedStateBlocksNoOtherRecords: what was learned of many images was rejected by
+// the store every few seconds, and with it the records of callers and jobs.
+func TestLargeLearnedStateBlocksNoOtherRecords(t *testing.T) {
+	for nameBytes, recorded := range map[int]bool{10: true, 4000: false} {
+		learned := headroom.Snapshot{}
+		for i := range 120 {
+			learned.Images = append(learned.Images, fmt.Sprintf("%0*d", nameBytes, i))
+			learned.LowLevels = append(learned.LowLevels, 1)
+			for j := range 120 {
+				learned.Costs = append(learned.Costs, headroom.CostSnapshot{Victim: i, Antagonist: j, Mean: 0.1, Variance: 0.0001})
+			}
+		}
+		value, err := cbor.Marshal(map[int]any{1: learned})
+		must.NoError(t, err)
+		var records atomic.Int64
+		change := func(c *Config) {
+			c.OnRecorded = func(list []store.Record) {
+				if slices.ContainsFunc(list, func(r store.Record) bool { return r.Key == job.LearnedModelsRecord(nil).Key }) {
+					records.Add(1)
+				}
+			}
+		}
+		withConfiguredDispatcher(t, &faultyStore{}, change, func(d *Dispatcher) {
+			must.NoError(t, d.Restore(value))
+			for range 3 {
+				_, err := d.timedWrite(time.Second)
+				must.NoError(t, err)
+				time.Sleep(2 * learnedRecordPeriod)
+			}
+			must.Eq(t, recorded, records.Load() > 0)
+		})
+	}
+}
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -23,6 +23,9 @@
 	// settleTime is how long an attempt has to run before it counts as an unlikely cause
 	// of a crash.
 	settleTime = 400 * time.Millisecond
+	// longRunningSettleTime is how long an attempt of a long-running task has to run before a
+	// crash of its worker does not count, since such tasks outlive many workers.
+	longRunningSettleTime = 10 * time.Second
 	// isolationPatience is how long a suspect waits for a worker on which no other task
 	// has just started. On a busy service there may be none.
 	isolationPatience = time.Second
@@ -35,6 +38,9 @@
 	// silentFactor says which part of the workers has to be silent for the owner to count as
 	// cut off, as its inverse.
 	silentFactor = 3
+	// maxSilentRecorded is the number of silent workers up to which an owner that counts as
+	// cut off still records those with a task that had just started.
+	maxSilentRecorded = 16
 	// lostRunRetention is how long the owner remembers a lost run. Workers that crash
 	// are back after some seconds.
 	lostRunRetention = time.Minute
@@ -93,9 +99,12 @@
 // start order without an answer was probably on its way when another attempt was the cause,
 // unless its task is a suspect.
 func isLikelyCause(a job.LostAttempt, suspect bool) bool {
-	return !a.Settled && (a.Started || suspect)
+	return !isSettled(a) && (a.Started || suspect)
 }
 
+// isSettled reports whether an attempt had run for settleTime.
+func isSettled(a job.LostAttempt) bool { return a.Ran >= settleTime }
+
 // closeRun sets lastRun to the worker's run, which is over or does not answer.
 func (w *workerState) closeRun() {
 	w.lastRun = endedRun{heardAt: w.heardAt}
@@ -108,15 +117,17 @@
 // listed the attempt.
 func (a *attempt) startConfirmed() bool { return a.confirmedAt != 0 && a.startedAt != 0 }
 
-// settledBy reports whether the attempt is known to have run for settleTime at the given
-// time.
-func (a *attempt) settledBy(at Instant) bool {
-	return a.startConfirmed() && at >= a.startedAt+settleTime
+// ranBy returns for how long the attempt is known to have run at the given time.
+func (a *attempt) ranBy(at Instant) time.Duration {
+	if !a.startConfirmed() {
+		return 0
+	}
+	return max(0, at-a.startedAt)
 }
 
 // lost describes the attempt after its worker last answered at heardAt.
 func (a *attempt) lost(heardAt Instant) job.LostAttempt {
-	return job.LostAttempt{Task: a.ref, Attempt: a.number, Started: a.startConfirmed(), Settled: a.settledBy(heardAt)}
+	return job.LostAttempt{Task: a.ref, Attempt: a.number, Started: a.startConfirmed(), Ran: a.ranBy(heardAt)}
 }
 
 // mayRun reports whether the attempt may be running on its worker.
@@ -124,7 +135,8 @@
 
 // recordLoss records the attempts of a worker that has ceased to answer. If a large part of
 // the workers has, it is probably the owner that is cut off, and their records would fill
-// its link.
+// its link: only up to maxSilentRecorded workers are recorded then on which a task had just
+// started, since one of them may be crashed by that task.
 func (s *Shard) recordLoss(w *workerState) {
 	if !w.enrolled || w.gone || len(w.attempts) == 0 {
 		return
@@ -135,17 +147,34 @@
 			silent++
 		}
 	}
-	if silent > 1 && silentFactor*silent > len(s.workers) {
+	if silent > 1 && silentFactor*silent > len(s.workers) && (silent > maxSilentRecorded || !w.hasUnsettled()) {
 		return
 	}
 	s.journal.enroll(w)
 }
 
+// mayLeave reports whether a worker that is silent at the given time may have left as
+// planned, which counts as no crash.
+func (w *workerState) mayLeave(at Instant) bool {
+	return w.info.Draining || w.cordonedAt != 0 && at < w.cordonedAt+upkeepDelay
+}
+
+// hasUnsettled reports whether an attempt may be running on a worker that was not known to
+// have run for settleTime when the worker last answered.
+func (w *workerState) hasUnsettled() bool {
+	for _, a := range w.attempts {
+		if a.mayRun() && a.ranBy(w.heardAt) < settleTime {
+			return true
+		}
+	}
+	return false
+}
+
 // takeLost returns the attempts to be recorded as lost: those of a worker that does not
-// answer.
+// answer and was not to leave.
 func (w *workerState) takeLost() []job.LostAttempt {
 	w.lossRecorded = false
-	if !w.unresponsive() {
+	if !w.unresponsive() || w.mayLeave(w.heardAt) {
 		return nil
 	}
 	var list []job.LostAttempt
@@ -170,7 +199,7 @@
 	}
 	if w.run != 0 && (first || w.unresponsive()) {
 		s.resolveLostRuns(now, w.info.ID, w.run)
-		s.retractCrashes(workerRun{w.info.ID, w.run})
+		s.resolveCrashes(now, w.info.ID, w.run)
 	}
 }
 
@@ -211,6 +240,7 @@
 	// Orders for this worker are refused at its address.
 	clear(w.unansweredStarts)
 	s.resolveLostRuns(now, id, noRun)
+	s.resolveCrashes(now, id, noRun)
 	s.dirty.add(w)
 }
 
@@ -244,11 +274,11 @@
 }
 
 // suspectCrash counts the loss of an attempt as a crash if its worker's run is over or
-// silent. A worker that was to leave does not count.
+// silent.
 func (s *Shard) suspectCrash(now Instant, a *attempt) {
 	w := a.worker
 	over := w.gone || a.run != w.run
-	if !a.mayRun() || w.info.Draining || w.cordonedAt != 0 && now < w.cordonedAt+upkeepDelay || !over && !w.unresponsive() {
+	if !a.mayRun() || w.mayLeave(now) || !over && !w.unresponsive() {
 		return
 	}
 	key, lost := workerRun{w.info.ID, a.run}, a.lost(w.lastRun.heardAt)
@@ -278,15 +308,14 @@
 }
 
 // countCrash records a crash of a task, once for each run of a worker, and fails the job
-// after too many. Long-running tasks outlive many workers, so a crash counts only if the
-// task had just started.
+// after too many.
 func (s *Shard) countCrash(now Instant, t *task, lost job.LostAttempt, key workerRun, over bool, causes crashCauses) {
 	j := t.step.job
 	c := job.Crash{
-		Worker: key.worker, Run: key.run, Over: over, Started: lost.Started, Settled: lost.Settled,
+		Worker: key.worker, Run: key.run, Over: over, Started: lost.Started, Settled: isSettled(lost),
 		Blamed: over && causes.blames(lost, t.isSuspectBefore(key)),
 	}
-	if t.done || j.ended() || t.step.spec.LongRunning && lost.Settled {
+	if t.done || j.ended() || t.step.spec.LongRunning && lost.Ran >= longRunningSettleTime {
 		return
 	}
 	crashes := slices.Clone(j.progress.Crashes[t.number])
@@ -309,27 +338,66 @@
 	}
 }
 
-// retractCrashes takes back the possible crashes for which a run counts that has answered.
-func (s *Shard) retractCrashes(key workerRun) {
+// resolveCrashes decides the possible crashes of a worker whose present run has answered:
+// those for which that run counts are taken back, and earlier runs are over. noRun stands
+// for a worker that is replaced. The owner that counted them may have ended since.
+func (s *Shard) resolveCrashes(now Instant, id platform.WorkerID, present int64) {
 	for _, j := range s.jobs {
-		if len(j.progress.Crashes) == 0 || j.ended() {
+		if len(j.progress.Crashes) == 0 {
 			continue
 		}
-		for number, crashes := range j.progress.Crashes {
-			left := slices.DeleteFunc(slices.Clone(crashes), func(c job.Crash) bool {
-				return c.Worker == key.worker && c.Run == key.run && !c.Over
-			})
-			if len(left) == len(crashes) {
-				continue
-			}
-			if j.progress.Crashes[number] = left; len(left) == 0 {
-				delete(j.progress.Crashes, number)
+		for _, r := range j.allSteps() {
+			for _, t := range r.tasks {
+				s.resolveCrashesOf(now, t, id, present)
 			}
-			s.journal.markDirty(j)
 		}
 	}
 }
 
+// resolveCrashesOf is resolveCrashes for one task.
+func (s *Shard) resolveCrashesOf(now Instant, t *task, id platform.WorkerID, present int64) {
+	j := t.step.job
+	if t.done || j.ended() {
+		return
+	}
+	resolved, over := resolvedCrashes(j.progress.Crashes[t.number], id, present)
+	if len(over) == 0 && len(resolved) == len(j.progress.Crashes[t.number]) {
+		return
+	}
+	if j.progress.Crashes[t.number] = resolved; len(resolved) == 0 {
+		delete(j.progress.Crashes, t.number)
+	}
+	s.journal.markDirty(j)
+	if len(over) == 0 {
+		return
+	}
+	s.journal.urgent, t.crashChange = true, s.journal.lastChange
+	givenUp := tooManyCrashes(resolved)
+	for _, c := range over {
+		s.notes.Crashes = append(s.notes.Crashes, CrashNote{Task: t.ref(), Crash: c, Crashes: len(resolved), GivenUp: givenUp})
+	}
+	if givenUp {
+		s.endJob(now, j, job.Failed)
+	}
+}
+
+// resolvedCrashes returns the crashes of a task once a worker's present run is known, and
+// those of them that have turned out to be over.
+func resolvedCrashes(crashes []job.Crash, id platform.WorkerID, present int64) (resolved, over []job.Crash) {
+	for _, c := range crashes {
+		switch {
+		case c.Worker != id || c.Over:
+		case c.Run == present:
+			continue
+		default:
+			c.Over = true
+			over = append(over, c)
+		}
+		resolved = append(resolved, c)
+	}
+	return resolved, over
+}
+
 // tooManyCrashes reports whether a task with these crashes is given up.
 func tooManyCrashes(crashes []job.Crash) bool {
 	early, possible, blamed, workers := 0, 0, false, map[platform.WorkerID]bool{}
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -292,3 +292,126 @@
 	must.MapLen(t, 0, h.log[id].Crashes)
 	h.checkViolations()
 }
+
+// TestPlannedLeaveIsNoCrashForNextOwner: a draining worker left with a task on it, and the next
+// owner counted that as a crash under the task.
+func TestPlannedLeaveIsNoCrashForNextOwner(t *testing.T) {
+	h := newHarness(t, 1)
+	h.run(500 * time.Millisecond)
+	step := batchStep(1)
+	step.Checkpointing = false
+	id := h.submit(firstID, fixedLength(12), nil, step)
+	h.run(2 * time.Second)
+	draining := h.cluster.Entry("w00")
+	draining.Draining, draining.Remaining = true, time.Second
+	h.shard.SetWorker(h.now, draining)
+	h.run(time.Second)
+	must.SliceLen(t, 1, h.workersOf(job.TaskRef{Job: id}))
+	h.cluster.LoseMachine("w00")
+	h.run(2 * tickInterval)
+	h.takeOver(false)
+	next := workerInfo(0)
+	next.ID = "w07"
+	h.cluster.AddWorker(h.now, next)
+	h.shard.SetWorker(h.now, next)
+	h.run(5 * time.Second)
+	must.MapLen(t, 0, h.log[id].Crashes)
+	h.checkViolations()
+}
+
+// TestLongRunningTaskThatCrashesItsWorkersLateIsGivenUp: crashes under a long-running task that
+// came later than 0.4 s after its start were not counted, and it was started without end.
+func TestLongRunningTaskThatCrashesItsWorkersLateIsGivenUp(t *testing.T) {
+	for _, after := range []time.Duration{600 * time.Millisecond, 5 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			h := newHarness(t, 8)
+			h.run(500 * time.Millisecond)
+			id := h.submit(crashingID, fixedLength(5), nil, longRunningTasks(1))
+			h.cluster.CrashWorkersOf(id, cluster.Crashing{
+				Tasks: everyTask, After: func(job.TaskRef, platform.Attempt) time.Duration { return after }, DownFor: 2 * time.Second,
+			})
+			for range 300 {
+				h.run(200 * time.Millisecond)
+				h.syncWorkers()
+			}
+			h.checkViolations()
+			must.Eq(t, job.Failed, h.state(id))
+			must.LessEq(t, maxCrashesPerTask+1, h.cluster.CrashesCaused())
+		})
+	}
+}
+
+// TestCrashesOfWorkersThatReturnToNextOwnerCount: an owner counted silent workers as possible
+// crashes and ended; their new runs answered the next owner, and the counts stayed possible ones.
+func TestCrashesOfWorkersThatReturnToNextOwnerCount(t *testing.T) {
+	h := newHarness(t, 3)
+	h.run(time.Second)
+	id := h.submit(firstID, fixedLength(60), nil, batchStep(1))
+	// The task is no likely cause, so only the fourth crash fails the job.
+	for round := range maxCrashesPerTask + 1 {
+		h.run(time.Second)
+		must.Eq(t, round+1, h.cluster.Starts())
+		for i := range 3 {
+			h.cluster.Crash(workerInfo(i).ID)
+		}
+		h.run(7 * time.Second)
+		must.SliceLen(t, round+1, h.log[id].Crashes[0])
+		must.False(t, h.log[id].Crashes[0][round].Over)
+		h.takeOver(false)
+		for i := range 3 {
+			h.cluster.Boot(h.now, workerInfo(i).ID)
+		}
+		h.syncWorkers()
+		h.run(200 * time.Millisecond)
+		must.True(t, h.log[id].Crashes[0][round].Over)
+	}
+	h.run(2 * time.Second)
+	must.Eq(t, job.Failed, h.state(id))
+	must.Eq(t, maxCrashesPerTask+1, h.cluster.Starts())
+	h.checkViolations()
+}
+
+// TestCrashesOfManyWorkersAtOnceAreCounted: a task had just started on one of several workers that
+// crashed at once, the owner recorded none of them and ended, and the crash was never counted.
+func TestCrashesOfManyWorkersAtOnceAreCounted(t *testing.T) {
+	h := newHarness(t, 3)
+	h.run(time.Second)
+	id := h.submit(firstID, fixedLength(20), nil, batchStep(1))
+	for range maxCrashesPerTask {
+		h.run(200 * time.Millisecond)
+		for i := range 3 {
+			h.cluster.Crash(workerInfo(i).ID)
+		}
+		h.run(time.Second)
+		h.takeOver(false)
+		for i := range 3 {
+			h.cluster.Boot(h.now, workerInfo(i).ID)
+		}
+		h.syncWorkers()
+	}
+	h.run(2 * time.Second)
+	must.Eq(t, job.Failed, h.state(id))
+	must.LessEq(t, maxCrashesPerTask, h.cluster.Starts())
+	h.checkViolations()
+}
+
+// TestCutOffOwnerRecordsFewWorkers guards against an owner that is cut off from all workers and
+// fills its link with records of what had just started on them.
+func TestCutOffOwnerRecordsFewWorkers(t *testing.T) {
+	const workers, maxRecorded = 60, 60 / 3
+	h := newHarness(t, workers)
+	h.run(time.Second)
+	h.submit(firstID, fixedLength(20), nil, maxOnePerWorker(batchStep(workers)))
+	h.run(2 * tickInterval)
+	for i := range workers {
+		h.cluster.SetPartitioned(workerInfo(i).ID, true)
+	}
+	h.run(3 * time.Second)
+	recorded := 0
+	for _, e := range h.enrolled {
+		if len(e.Lost) > 0 {
+			recorded++
+		}
+	}
+	must.LessEq(t, maxRecorded, recorded)
+}
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/bits"
+	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/siskinvane/siskinvane/internal/platform"
@@ -102,8 +105,8 @@
 	Attempt platform.Attempt `cbor:"2,keyasint"`
 	// Started is set if the worker had accepted the attempt's start order or listed it.
 	Started bool `cbor:"3,keyasint,omitempty"`
-	// Settled is set if the attempt had run for a while when the worker last answered.
-	Settled bool `cbor:"4,keyasint,omitempty"`
+	// Ran is how long the attempt is known to have run when the worker last answered.
+	Ran time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Attempts is a list of attempts of one task, without duplicates and unordered.
@@ -212,9 +215,29 @@
 	return s, nil
 }
 
-// ProgressRecord returns the progress record of a job.
+// MaxRecordBytes is the size above which records that an owner writes are shortened or left
+// out. It is below the store's limit for a record.
+const MaxRecordBytes = 192 << 10
+
+// ProgressRecord returns the progress record of a job. Checkpoints that do not fit into it
+// are left out: under a later owner, their tasks start from the beginning.
 func ProgressRecord(id ID, p *Progress) (store.Record, error) {
-	return encodeRecord(progressKey+string(id), p)
+	key := progressKey + string(id)
+	r, err := encodeRecord(key, p)
+	if err != nil || len(r.Value) <= MaxRecordBytes {
+		return r, err
+	}
+	shortened := *p
+	shortened.Checkpoints = maps.Clone(p.Checkpoints)
+	excess := len(r.Value) - MaxRecordBytes
+	for _, number := range slices.Backward(slices.Sorted(maps.Keys(p.Checkpoints))) {
+		if excess <= 0 {
+			break
+		}
+		excess -= len(p.Checkpoints[number])
+		delete(shortened.Checkpoints, number)
+	}
+	return encodeRecord(key, &shortened)
 }
 
 // CancellationRecord returns the record that cancels a job.
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -68,6 +68,7 @@
 	// startsInOrder counts the start orders issued since the last one of a starved step.
 	startsInOrder int
 	startRates    map[capacityClass]*startRate
+	startOrders   startOrders
 	// batchReserved is the CPU that batch tasks have reserved, in thousandths of a
 	// core.
 	batchReserved int64
@@ -76,7 +77,9 @@
 	batchPeak   float64
 	batchPeakAt Instant
 	headroom    *headroom.Model
-	lengths     *length.Model
+	// haltedCheckedAt is when a halted task was last checked for room elsewhere.
+	haltedCheckedAt Instant
+	lengths         *length.Model
 
 	// heldEnds are the ends of attempts of jobs that the shard does not have.
 	heldEnds []heldEnd
