Let an owner that is out of touch with the store apply cancellations at once

Cause: the answers of the store to the owner were lost, so another host wrote the cancellation and sent the owner a notice. The owner refuses notices while its last answered join is older than 0.8 s, and read the log only 1.3 s after the fault was over. It went on starting tasks of the job meanwhile.

Change: such an owner applies the cancellations among the records of a notice, and still refuses the others. The limit exists for submissions: the next owner has to know until when an earlier one may start tasks of a new job. A cancellation starts nothing: - notices are sent only after the append was acknowledged, so the record is in the log whoever sends it; - it has no offset or epoch to compare: the table sets a flag that is never cleared, so order and repetition do not matter, and the read of the same record later changes nothing; - one that comes before its submission is kept with the job's entry, as when the log is read out of order; - an owner that has been replaced can only stop tasks of a cancelled job, its records are fenced, and workers refuse its stop orders once they have seen the later token. The notice still fails, so hosts that ask whether the owner is alive get the same answer as before.

Evidence: TestCancellationReachesOwnerCutOffFromStore fails before (the owner does not know of the cancellation) and passes, 20 of 20.

--- a/internal/process/node/direct_test.go
+++ b/internal/process/node/direct_test.go
@@ -57,6 +57,31 @@
 	})
 }
 
+// TestCancellationReachesOwnerCutOffFromStore: an owner whose joins went unanswered refused
+// the notice of a cancellation and went on starting the job's tasks until it read the log.
+func TestCancellationReachesOwnerCutOffFromStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster()
+		owner, other := c.startPair(t)
+		defer c.stop(owner, other)
+		must.NoError(t, submit(other, 3*time.Second))
+		c.view("h1").Set(memstore.Unresponsive, 0)
+		time.Sleep(ownerJoinMaxAge + 100*time.Millisecond)
+		must.NoError(t, other.Submit(t.Context(), otherJobID, submission()))
+		must.NoError(t, other.Cancel(t.Context(), jobID))
+		time.Sleep(50 * time.Millisecond)
+		must.True(t, owner.OwnsShard())
+		cancelled, known := owner.table.Get(jobID)
+		must.True(t, known && cancelled.Cancelled)
+		// An end that is not recorded yet is reported as running.
+		state, _ := owner.ownedDispatcher().State(jobID)
+		must.Eq(t, job.Running, state)
+		// A later owner may start what it finds in the log beyond ownerOverlap.
+		_, known = owner.table.Get(otherJobID)
+		must.False(t, known)
+	})
+}
+
 // TestUnsentRecordReportsUnavailable: a caller whose record was never sent gets
 // store.ErrUnavailable; one whose record may be in the log does not.
 func TestUnsentRecordReportsUnavailable(t *testing.T) {
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -25,17 +25,30 @@
 }
 
 // Written applies records that are already in the log, so that the owner need not wait
-// until it reads them there. It fails if this host may no longer be the owner.
+// until it reads them there. If this host may no longer be the owner it applies only the
+// cancellations, which start nothing on any host, and fails.
 func (s *Service) Written(args WrittenArgs, _ *Empty) error {
 	if s.node.member.ConfirmationAge() > ownerJoinMaxAge {
+		s.node.applyRecords(cancellationsIn(args.Records))
 		return errNotOwner
 	}
 	s.node.applyRecords(args.Records)
 	return nil
 }
 
+// cancellationsIn returns the cancellations among records.
+func cancellationsIn(records []store.Record) []store.Record {
+	var list []store.Record
+	for _, r := range records {
+		if job.IsCancellation(r) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
 // ownerJoinMaxAge is the greatest age of an owner's last answered join at which it still
-// accepts records from other hosts. A new owner relies on this limit.
+// accepts submissions from other hosts. A new owner relies on this limit.
 const ownerJoinMaxAge = 800 * time.Millisecond
 
 var errNotOwner = errors.New("not sure to own the shard")
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -245,6 +245,12 @@
 	return store.Record{Key: cancellationKey + string(id), Value: cancellationValue}
 }
 
+// IsCancellation reports whether a record cancels a job.
+func IsCancellation(r store.Record) bool {
+	kind, _ := splitKey(r.Key)
+	return kind == cancellationKey && len(r.Value) > 0
+}
+
 // OwnershipRecord returns the record of a shard's owner.
 func OwnershipRecord(o Ownership) (store.Record, error) { return encodeRecord(ownershipKey, o) }
 
