Count no crash for a start order that its worker's replacement refused

What callers saw: a job that had never run was shown as failed.

Cause: when another worker answers at a worker's address, the attempts there are lost and each counts as a crash of its task, also those whose start order is still under way. The answer that follows, a refusal by the other worker or a connection that was never made, found no attempt and was dropped. Three of these are three crashes right after a start, and fail the job.

Change: an order that was sent once and certainly had no effect takes back the count of its attempt, also where it is still kept as a lost run, and has the enrollment record written again if that lists the attempt as lost. After a try that got no answer the count stays: that try may have been the cause, and the bound on starts of a task that crashes its workers needs it. Orders are POST requests, which the HTTP client does not send twice by itself.

Evidence: TestStartsRefusedByReplacementsAreNoCrashes fails before in the two cases of orders without effect (job failed, never started) and passes. Its four other cases, with a lost answer or an ended attempt, fail the job before and after. Without the rewritten enrollment record the next owner counts the three again and the same two cases fail. go test -race ./internal/scheduler passes.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -338,6 +338,42 @@
 	}
 }
 
+// dismissCrash takes back the crash that was counted for an attempt whose start order was
+// under way when its worker's run was lost, and has turned out to have had no effect.
+func (s *Shard) dismissCrash(now Instant, action StartAction) {
+	key := workerRun{action.Worker.ID, action.Run}
+	if l := s.lostRuns[key]; l != nil {
+		l.attempts = slices.DeleteFunc(l.attempts, func(a job.LostAttempt) bool {
+			return a.Task == action.Order.Task && a.Attempt == action.Order.Attempt
+		})
+	}
+	if w, ok := s.workers[key.worker]; ok && w.lossRecorded {
+		s.journal.enroll(w)
+	}
+	t := s.findTask(now, action.Order.Task)
+	if t == nil || t.done || t.step.job.ended() {
+		return
+	}
+	j := t.step.job
+	crashes := slices.DeleteFunc(slices.Clone(j.progress.Crashes[t.number]), func(c job.Crash) bool {
+		return c.Worker == key.worker && c.Run == key.run && !c.Started
+	})
+	if len(crashes) == len(j.progress.Crashes[t.number]) {
+		return
+	}
+	j.setCrashes(t, crashes)
+	s.journal.markDirty(j)
+}
+
+// setCrashes sets the crashes under a task.
+func (j *jobState) setCrashes(t *task, crashes []job.Crash) {
+	if len(crashes) == 0 {
+		delete(j.progress.Crashes, t.number)
+		return
+	}
+	j.progress.Crashes[t.number] = crashes
+}
+
 // resolveCrashes decides the possible crashes of a worker whose present run has answered:
 // those for which that run counts are taken back, and earlier runs are over. noRun stands
 // for a worker that is replaced. The owner that counted them may have ended since.
@@ -364,9 +400,7 @@
 	if len(over) == 0 && len(resolved) == len(j.progress.Crashes[t.number]) {
 		return
 	}
-	if j.progress.Crashes[t.number] = resolved; len(resolved) == 0 {
-		delete(j.progress.Crashes, t.number)
-	}
+	j.setCrashes(t, resolved)
 	s.journal.markDirty(j)
 	if len(over) == 0 {
 		return
--- a/internal/scheduler/crash_guard_test.go
+++ b/internal/scheduler/crash_guard_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/siskinvane/siskinvane/internal/platform"
+	"github.com/siskinvane/siskinvane/internal/platform/fleet"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
@@ -110,3 +111,59 @@
 	h.checkViolations()
 	must.Eq(t, job.Done, h.state(id))
 }
+
+// TestStartsRefusedByReplacementsAreNoCrashes: workers were replaced while start orders were
+// under way to them, the replacements refused the orders, and the job failed though it had
+// never run.
+func TestStartsRefusedByReplacementsAreNoCrashes(t *testing.T) {
+	refusals := map[string]struct {
+		answer fleet.Answer
+		err    error
+		// lost is set if the first try of the order got no answer: it may have been the cause.
+		lost bool
+		want job.State
+	}{
+		"refused":                       {fleet.Answer{Verdict: fleet.RefusedOtherRun}, nil, false, job.Done},
+		"not sent":                      {fleet.Answer{}, errNotSent, false, job.Done},
+		"no answer":                     {fleet.Answer{}, platform.ErrOutcomeUnknown, false, job.Failed},
+		"refused after a try was lost":  {fleet.Answer{Verdict: fleet.RefusedOtherRun}, nil, true, job.Failed},
+		"had ended":                     {fleet.Answer{Verdict: fleet.RefusedEnded}, nil, false, job.Failed},
+		"not sent after a try was lost": {fleet.Answer{}, errNotSent, true, job.Failed},
+	}
+	for name, c := range refusals {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2*maxCrashesPerTask)
+			h.run(500 * time.Millisecond)
+			id := h.submit(firstID, nil, nil, batchStep(1))
+			var replaced []platform.WorkerID
+			for range maxCrashesPerTask {
+				h.now += tickInterval
+				starts := h.planOnce(1).Starts
+				must.SliceLen(t, 1, starts)
+				start, wanted := h.shard.BeginStart(h.now, starts[0])
+				must.True(t, wanted)
+				if c.lost {
+					h.shard.StartAnswered(h.now, start, fleet.Answer{}, platform.ErrOutcomeUnknown)
+					start, wanted = h.shard.BeginStart(h.now, h.planOnce(0).Starts[0])
+					must.True(t, wanted)
+				}
+				replaced = append(replaced, start.Worker.ID)
+				h.cluster.LoseMachine(start.Worker.ID)
+				h.shard.RenewFailed(h.now, h.now, start.Worker.ID)
+				h.record()
+				h.shard.WorkerReplaced(h.now, start.Worker.ID)
+				h.record()
+				h.shard.StartAnswered(h.now, start, c.answer, c.err)
+				h.record()
+			}
+			must.False(t, h.cluster.Started(id))
+			h.takeOver(false)
+			for _, w := range replaced {
+				h.shard.WorkerReplaced(h.now, w)
+			}
+			h.run(settleTime)
+			h.checkViolations()
+			must.Eq(t, c.want, h.state(id))
+		})
+	}
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -46,8 +46,8 @@
 	if !a.startSent {
 		a.run = a.worker.run
 	}
+	action.Worker, action.Run, action.Repeated = a.worker.info, a.worker.run, a.startSent
 	a.orderedAt, a.startSent = now, true
-	action.Worker, action.Run = a.worker.info, a.worker.run
 	action.Order.LeaseEnd = a.worker.clock.extendLease(now, s.leaseLength())
 	return action, true
 }
@@ -59,6 +59,9 @@
 func (s *Shard) StartAnswered(now Instant, action StartAction, answer fleet.Answer, err error) {
 	a := s.findAttempt(action.Worker, action.Order)
 	if a == nil {
+		if !action.Repeated && notCarriedOut(answer, err) {
+			s.dismissCrash(now, action)
+		}
 		return
 	}
 	if err == nil && action.Run == a.worker.run {
@@ -98,6 +101,15 @@
 	}
 }
 
+// notCarriedOut reports whether an order to start an attempt that was sent once certainly
+// had no effect.
+func notCarriedOut(answer fleet.Answer, err error) bool {
+	if err != nil {
+		return !errors.Is(err, platform.ErrOutcomeUnknown)
+	}
+	return answer.Verdict != fleet.Accepted && answer.Verdict != fleet.RefusedEnded
+}
+
 // noteRefusedStart records that a worker has refused a start order or that the order did
 // not reach it.
 func (s *Shard) noteRefusedStart(now Instant, a *attempt, unhealthy bool) {
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -137,6 +137,8 @@
 	// Run is the worker's run when BeginStart returned the order.
 	Run   int64
 	Order fleet.StartOrder
+	// Repeated is set if the order was sent before.
+	Repeated bool
 }
 
 // StopAction is an order to stop an attempt.
