Reserve a place within the limit per worker for tasks that leave a draining worker

What callers saw: long-running tasks with anti-affinity were stopped on draining workers and stayed down, although their workers had time left.

Cause: a task leaves a draining worker only if there is room for it beside the others that move. The room was reserved in resources alone, so several tasks of a step were stopped for the one place that its limit of tasks per worker left.

Change: each reservation also counts towards the tasks of the step on that worker. MaxPerWorker is the only such limit that steps have; the platform's anti-affinity is translated to it.

Evidence: TestTasksWithinLimitLeaveDrainingWorkers, two draining workers and an empty one: without the change 1 of 2 tasks (limit 1) and 2 of 4 (limit 2) run 5 s later; with it all run and only those with a place have moved. go test -race ./internal/scheduler passes.

--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -78,11 +78,12 @@
 func (d destinations) release() {
 	for w, size := range d {
 		w.reserved = w.reserved.Sub(size)
+		clear(w.arriving)
 	}
 }
 
-// findDestination reserves resources for another attempt of a running task and reports
-// whether there is a worker for it.
+// findDestination reserves resources and a place within the limit of tasks per worker for
+// another attempt of a running task, and reports whether there is a worker for it.
 func (p *placement) findDestination(a *attempt, d destinations) bool {
 	r := a.task.step
 	w := p.rate(r, a.image, p.schedulableWorkers(p.service(r))).best(a.task)
@@ -91,6 +92,10 @@
 	}
 	w.reserved = w.reserved.Add(a.size)
 	d[w] = d[w].Add(a.size)
+	if w.arriving == nil {
+		w.arriving = map[*stepRun]int{}
+	}
+	w.arriving[r]++
 	return true
 }
 
--- a/internal/scheduler/drain_test.go
+++ b/internal/scheduler/drain_test.go
@@ -84,6 +84,31 @@
 	}
 }
 
+// TestTasksWithinLimitLeaveDrainingWorkers: tasks of a step with a limit per worker were
+// stopped on draining workers although no other worker could take them.
+func TestTasksWithinLimitLeaveDrainingWorkers(t *testing.T) {
+	for _, limit := range []int{1, 2} {
+		t.Run(fmt.Sprint(limit), func(t *testing.T) {
+			h := newHarness(t, 2)
+			step := longRunningTasks(2 * limit)
+			step.MaxPerWorker = limit
+			id := h.submit(firstID, nil, nil, step)
+			h.run(time.Second)
+			must.Eq(t, step.Tasks, h.cluster.Running(id))
+			h.cluster.AddWorker(h.now, workerInfo(2))
+			h.syncWorkers()
+			for i := range 2 {
+				h.drainWorker(i, 20*time.Second)
+			}
+			h.run(5 * time.Second)
+			must.Eq(t, limit, h.runningOn(2))
+			must.Eq(t, step.Tasks, h.cluster.Running(id))
+			must.Eq(t, step.Tasks+limit, h.cluster.Starts())
+			h.checkViolations()
+		})
+	}
+}
+
 // runningOn returns how many long-running tasks the shard has on a worker.
 func (h *harness) runningOn(worker int) int {
 	n, _ := h.shard.CountAttempts(workerInfo(worker).ID)
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -25,9 +25,10 @@
 	return step.MaxPerWorker == 0 || w.countAttempts(r) < step.MaxPerWorker
 }
 
-// countAttempts returns how many tasks of a step may be running on a worker.
+// countAttempts returns how many tasks of a step may be running on a worker or are about to
+// move there.
 func (w *workerState) countAttempts(r *stepRun) int {
-	n := 0
+	n := w.arriving[r]
 	for _, a := range w.attempts {
 		if a.task != nil && a.task.step == r {
 			n++
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -47,6 +47,9 @@
 	clock             workerClock
 	attempts          map[job.TaskRef]*attempt
 	reserved          platform.Resources
+	// arriving counts the tasks of each step that are about to move to the worker, while
+	// drainWorkers runs.
+	arriving map[*stepRun]int
 	// orphans counts the attempts of jobs that this owner does not have.
 	orphans    int
 	colocation colocation
