Take a refusal by a worker's replacement for no answer of the worker

What callers saw: none was seen to; found by a review. A task that had crashed its worker right after its start could count as one that had run for a while, which is an unlikely cause and is given up a crash later.

Cause: any answer to a start order counted as the last sign of life of the worker's run, also a refusal because another run answers at the address. For how long an attempt had run when its worker was lost is counted up to that moment.

Change: that refusal no longer counts.

Evidence: TestRefusalByReplacementIsNoAnswerOfWorker fails without the change (a refusal 0.6 s after the crash makes the task settled) and passes with it. All of internal/scheduler passes.

--- a/internal/scheduler/crash_guard_test.go
+++ b/internal/scheduler/crash_guard_test.go
@@ -167,3 +167,25 @@
 		})
 	}
 }
+
+// TestRefusalByReplacementIsNoAnswerOfWorker: a worker had crashed right after a task's start,
+// its replacement refused another start order 0.6 s later, and the task counted as having run
+// until then.
+func TestRefusalByReplacementIsNoAnswerOfWorker(t *testing.T) {
+	h := newHarness(t, 1)
+	h.run(500 * time.Millisecond)
+	id := h.submit(firstID, nil, nil, batchStep(1))
+	h.now += tickInterval
+	h.accept(h.planOnce(1).Starts[0])
+	h.cluster.LoseMachine("w00")
+	h.submit(crashingID, nil, nil, batchStep(1))
+	start, wanted := h.shard.BeginStart(h.now, h.planOnce(1).Starts[0])
+	must.True(t, wanted)
+	h.now += 600 * time.Millisecond
+	h.shard.StartAnswered(h.now, start, fleet.Answer{Verdict: fleet.RefusedOtherRun}, nil)
+	h.shard.RenewFailed(h.now, h.now, "w00")
+	h.shard.WorkerReplaced(h.now, "w00")
+	h.record()
+	must.SliceLen(t, 1, h.log[id].Crashes[0])
+	must.False(t, h.log[id].Crashes[0][0].Settled)
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -64,7 +64,7 @@
 		}
 		return
 	}
-	if err == nil && action.Run == a.worker.run {
+	if err == nil && action.Run == a.worker.run && answer.Verdict != fleet.RefusedOtherRun {
 		a.worker.heardAt = now
 	}
 	switch {
