Judge planned leaves by the last answer, and not after refused upkeep

What callers saw: none was seen to; found by a review.

Cause: whether a silent worker was to leave was judged twice. The record for the next owner looked at the worker's last answer, the count at the moment of the loss: the lapse of the leases, 5 s later, or the entry of the worker's next run, which is not draining any more. And a worker counted as about to leave for 10 s after it was last emptied for upkeep, also if its machine had refused the upkeep as busy and the owner used the worker again.

Change: whether a run was to leave is judged once, when it is closed, by when it was last seen and before the next run's entry replaces its own. The planner of waves lists the workers whose machines have refused their upkeep and for which no order may still be carried out; these do not count as leaving.

Evidence: TestPlannedLeaveIsJudgedByLastAnswer (upkeep 6 s after the worker was emptied; next run of a drained worker), TestCrashAfterRefusedUpkeepCounts and TestRefusedUpkeepIsNoPlannedLeave each fail without their part of the change and pass with it.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -309,6 +309,11 @@
 	d.updateShard(func(s *scheduler.Shard, _ scheduler.Instant) { s.SetCordoned(ids) })
 }
 
+// UpkeepRefused records that the machines of workers have refused their upkeep.
+func (d *Dispatcher) UpkeepRefused(ids []platform.WorkerID) {
+	d.updateShard(func(s *scheduler.Shard, _ scheduler.Instant) { s.UpkeepRefused(ids) })
+}
+
 // WorkerLoad counts the tasks that may be running on a worker: long-running ones, which
 // have no end, and finite ones.
 func (d *Dispatcher) WorkerLoad(id platform.WorkerID) (longRunning, finite int) {
--- a/internal/process/maintain/maintain.go
+++ b/internal/process/maintain/maintain.go
@@ -30,6 +30,9 @@
 	// SetCordoned sets the workers that get no new tasks and from which tasks are moved
 	// away.
 	SetCordoned(ids []platform.WorkerID)
+	// UpkeepRefused tells that the machines of workers have refused their upkeep, so that
+	// the workers go on.
+	UpkeepRefused(ids []platform.WorkerID)
 	// WorkerLoad counts the tasks that may be running on a worker: long-running ones,
 	// which have no end, and finite ones.
 	WorkerLoad(id platform.WorkerID) (longRunning, finite int)
@@ -175,6 +178,7 @@
 		},
 	})
 	m.Shard.SetCordoned(steps.Drain)
+	m.Shard.UpkeepRefused(steps.Refused)
 	for _, o := range steps.Orders {
 		m.orderUpkeep(ctx, o)
 	}
--- a/internal/process/maintain/maintain_test.go
+++ b/internal/process/maintain/maintain_test.go
@@ -28,6 +28,7 @@
 
 	mu           sync.Mutex
 	cordoned     []platform.WorkerID
+	refused      []platform.WorkerID
 	loads        map[platform.WorkerID]int
 	records      []store.Record
 	reports      []bool
@@ -59,6 +60,10 @@
 
 func (s *fakePlatform) SetCordoned(ids []platform.WorkerID) { s.withLock(func() { s.cordoned = ids }) }
 
+func (s *fakePlatform) UpkeepRefused(ids []platform.WorkerID) {
+	s.withLock(func() { s.refused = ids })
+}
+
 // WorkerLoad implements Shard. A cordoned worker loses one task with each call.
 func (s *fakePlatform) WorkerLoad(id platform.WorkerID) (longRunning, finite int) {
 	s.mu.Lock()
@@ -244,3 +249,20 @@
 		must.Zero(t, s.cluster.OpenWaves())
 	})
 }
+
+// TestRefusedUpkeepIsNoPlannedLeave: a machine had refused its upkeep as busy, its worker went
+// on, and the shard was not told.
+func TestRefusedUpkeepIsNoPlannedLeave(t *testing.T) {
+	runMaintainer(t, func(s *fakePlatform, _ *Config) { s.verdict = fleet.MachineBusy }, func(s *fakePlatform) {
+		s.cluster.DeclareWave(1, 1, "w1")
+		refused := 0
+		for range 60 {
+			time.Sleep(500 * time.Millisecond)
+			s.withLock(func() {
+				refused += len(s.refused)
+				must.LessEq(t, 1, len(s.refused)+len(s.cordoned))
+			})
+		}
+		must.Positive(t, refused)
+	})
+}
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -71,6 +71,8 @@
 type endedRun struct {
 	// heardAt is when the run last answered.
 	heardAt Instant
+	// leaving is set if the run may have left as planned, which counts as no crash.
+	leaving bool
 	crashCauses
 }
 
@@ -107,7 +109,7 @@
 
 // closeRun sets lastRun to the worker's run, which is over or does not answer.
 func (w *workerState) closeRun() {
-	w.lastRun = endedRun{heardAt: w.heardAt}
+	w.lastRun = endedRun{heardAt: w.heardAt, leaving: w.mayLeave()}
 	for _, a := range w.attempts {
 		w.lastRun.add(a.lost(w.heardAt), a.task != nil && a.task.isSuspectBefore(workerRun{w.info.ID, a.run}))
 	}
@@ -153,10 +155,10 @@
 	s.journal.enroll(w)
 }
 
-// mayLeave reports whether a worker that is silent at the given time may have left as
-// planned, which counts as no crash.
-func (w *workerState) mayLeave(at Instant) bool {
-	return w.info.Draining || w.cordonedAt != 0 && at < w.cordonedAt+upkeepDelay
+// mayLeave reports whether the worker was about to leave as planned when its run was last
+// seen, so that its silence counts as no crash.
+func (w *workerState) mayLeave() bool {
+	return w.info.Draining || w.cordonedAt != 0 && max(w.heardAt, w.runSeenAt) < w.cordonedAt+upkeepDelay
 }
 
 // hasUnsettled reports whether an attempt may be running on a worker that was not known to
@@ -174,7 +176,7 @@
 // answer and was not to leave.
 func (w *workerState) takeLost() []job.LostAttempt {
 	w.lossRecorded = false
-	if !w.unresponsive() || w.mayLeave(w.heardAt) {
+	if !w.unresponsive() || w.mayLeave() {
 		return nil
 	}
 	var list []job.LostAttempt
@@ -278,7 +280,7 @@
 func (s *Shard) suspectCrash(now Instant, a *attempt) {
 	w := a.worker
 	over := w.gone || a.run != w.run
-	if !a.mayRun() || w.mayLeave(now) || !over && !w.unresponsive() {
+	if !a.mayRun() || w.lastRun.leaving || !over && !w.unresponsive() {
 		return
 	}
 	key, lost := workerRun{w.info.ID, a.run}, a.lost(w.lastRun.heardAt)
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -319,6 +319,62 @@
 	h.checkViolations()
 }
 
+// TestPlannedLeaveIsJudgedByLastAnswer: a worker left as planned, and its loss counted as a
+// crash since its leases expired long after, or its next run was not to leave.
+func TestPlannedLeaveIsJudgedByLastAnswer(t *testing.T) {
+	leaves := map[string]func(h *harness){
+		"upkeep some time after the worker was emptied": func(h *harness) {
+			h.shard.SetCordoned([]platform.WorkerID{"w00"})
+			h.run(time.Second)
+			h.shard.SetCordoned(nil)
+			h.run(6 * time.Second)
+			h.cluster.LoseMachine("w00")
+			h.run(7 * time.Second)
+		},
+		"next run": func(h *harness) {
+			h.drainWorker(0, time.Second)
+			h.run(time.Second)
+			h.cluster.Crash("w00")
+			h.run(time.Second)
+			h.cluster.Boot(h.now, "w00")
+			h.cluster.SetDraining("w00", false)
+			h.syncWorkers()
+			h.run(time.Second)
+		},
+	}
+	for name, leave := range leaves {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.run(500 * time.Millisecond)
+			step := batchStep(1)
+			step.Checkpointing = false
+			id := h.submit(firstID, fixedLength(30), nil, step)
+			h.run(time.Second)
+			leave(h)
+			must.Eq(t, 1, h.cluster.RunsLost())
+			must.MapLen(t, 0, h.log[id].Crashes)
+			h.checkViolations()
+		})
+	}
+}
+
+// TestCrashAfterRefusedUpkeepCounts: a machine had refused the upkeep for which its worker was
+// emptied, and a crash of the worker within 10 s counted as a planned leave.
+func TestCrashAfterRefusedUpkeepCounts(t *testing.T) {
+	h := newHarness(t, 1)
+	h.run(500 * time.Millisecond)
+	h.shard.SetCordoned([]platform.WorkerID{"w00"})
+	h.run(time.Second)
+	h.shard.SetCordoned(nil)
+	h.shard.UpkeepRefused([]platform.WorkerID{"w00"})
+	id := h.submit(firstID, fixedLength(30), nil, batchStep(1))
+	h.run(time.Second)
+	h.crashFor(time.Second, "w00")
+	h.run(time.Second)
+	must.SliceLen(t, 1, h.log[id].Crashes[0])
+	h.checkViolations()
+}
+
 // TestLongRunningTaskThatCrashesItsWorkersLateIsGivenUp: crashes under a long-running task that
 // came later than 0.4 s after its start were not counted, and it was started without end.
 func TestLongRunningTaskThatCrashesItsWorkersLateIsGivenUp(t *testing.T) {
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -190,6 +190,16 @@
 	}
 }
 
+// UpkeepRefused records that the machines of workers have refused their upkeep: the workers
+// go on, so one that falls silent does not leave as planned.
+func (s *Shard) UpkeepRefused(ids []platform.WorkerID) {
+	for _, id := range ids {
+		if w, ok := s.workers[id]; ok && !w.cordoned {
+			w.cordonedAt = 0
+		}
+	}
+}
+
 // CountAttempts counts the attempts that may be running on a worker.
 func (s *Shard) CountAttempts(id platform.WorkerID) (longRunning, batch int) {
 	w, ok := s.workers[id]
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -21,6 +21,7 @@
 	}
 	if lists.Started != w.run && lists.Started != 0 {
 		if w.run != 0 {
+			w.closeRun()
 			s.handleRestart(now, w, lists.Started)
 		} else {
 			w.setRun(now, lists.Started)
--- a/internal/scheduler/upkeep/upkeep.go
+++ b/internal/scheduler/upkeep/upkeep.go
@@ -62,6 +62,9 @@
 type Actions struct {
 	// Drain lists the workers to drain.
 	Drain []platform.WorkerID
+	// Refused lists the workers whose machines have refused their upkeep as busy, and that
+	// go on until these are drained again.
+	Refused []platform.WorkerID
 	// Orders lists the machines whose maintenance may be ordered now.
 	Orders []Order
 	// Done lists the waves that have completed.
@@ -275,9 +278,24 @@
 			}
 		}
 	}
+	actions.Refused = pass.refused()
 	return actions
 }
 
+// refused returns the workers of the machines whose last orders were refused as busy and no
+// order for which may still be carried out.
+func (p *plan) refused() []platform.WorkerID {
+	var list []platform.WorkerID
+	for _, w := range p.known {
+		for id := range w.busy {
+			if w.refused(p.now, id) && !p.unavailable(id) && p.machines[id].Worker != "" {
+				list = append(list, p.machines[id].Worker)
+			}
+		}
+	}
+	return list
+}
+
 // newPlan reopens the waves that have changed since they were done, and updates what is
 // known of each wave from the list of machines.
 func (p *Planner) newPlan(now Instant, s Snapshot) *plan {
--- a/internal/scheduler/upkeep/upkeep_test.go
+++ b/internal/scheduler/upkeep/upkeep_test.go
@@ -252,7 +252,7 @@
 	f, w := newFakePlatform(4), wave(4, 1)
 	f.busy = "m0"
 	p := upkeep.New(nil)
-	drained, orders := time.Duration(0), 0
+	drained, refused, orders := time.Duration(0), time.Duration(0), 0
 	var late []int64
 	run := func(d time.Duration) {
 		const period = 500 * time.Millisecond
@@ -261,6 +261,8 @@
 			late = append(late, actions.Late...)
 			if slices.Contains(actions.Drain, "w0") {
 				drained += period
+			} else if slices.Contains(actions.Refused, "w0") {
+				refused += period
 			}
 			for _, o := range actions.Orders {
 				p.RecordOrder(o.Wave, o.Machine)
@@ -278,6 +280,7 @@
 	must.Eq(t, []int64{w.Number}, late)
 	run(5 * time.Minute)
 	must.Less(t, f.now/10, drained)
+	must.Greater(t, f.now*8/10, refused)
 	must.Between(t, 10, orders, 60)
 	must.True(t, p.HasOpenWave([]fleet.Wave{w}))
 	must.Eq(t, []int64{w.Number}, late)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -187,11 +187,16 @@
 	if w.info.Started == info.Started && info.Started != 0 && w.info.Capacity != info.Capacity {
 		s.noteCapacityChange()
 	}
+	restarted := w.run != 0 && info.Started > w.run && info.Started != w.runBefore
+	if restarted {
+		// The entry of the next run does not tell whether this one was to leave.
+		w.closeRun()
+	}
 	w.info = info
 	w.registered = true
 	w.updateDrainEnd(now, info)
 	s.updateColocation(now, w)
-	if w.run != 0 && info.Started > w.run && info.Started != w.runBefore {
+	if restarted {
 		s.handleRestart(now, w, info.Started)
 	}
 }
@@ -233,12 +238,11 @@
 	return nil
 }
 
-// handleRestart drops the attempts that the worker's previous run listed, since none of
-// them is still running. Attempts started since then may belong to either run; the
-// lists of the new run tell which. Unanswered start orders may still reach the new run,
-// so it is ordered to stop those attempts.
+// handleRestart replaces the worker's run, which closeRun has closed. It drops the attempts
+// that the previous run listed, since none of them is still running. Attempts started since
+// then may belong to either run; the lists of the new run tell which. Unanswered start
+// orders may still reach the new run, so it is ordered to stop those attempts.
 func (s *Shard) handleRestart(now Instant, w *workerState, run int64) {
-	w.closeRun()
 	w.setRun(now, run)
 	w.gone, w.heardAt = false, 0
 	for _, a := range w.attempts {
