Forget the crashes under a long-running task that has run for ten minutes

What callers saw: none was seen to; found by a review. A long-running task that has nothing to do with the loss of its workers is given up at the fourth worker that is lost within 10 s of its start, even if months lie between.

Cause: crashes are counted in the job's progress for as long as the task lives, and a long-running task has no end.

Change: once a listed attempt of a long-running task has run for ten minutes under one owner, the crashes under earlier attempts are taken out of the progress. A new owner counts the ten minutes anew.

The bound on runs lost holds as before for a task that crashes the workers that start it: it never runs that long. Crashes more than 10 s after the start of a long-running task were not counted before either. Batch tasks keep their counts.

Evidence: TestLongRunningTaskOutlivesItsWorkers, six workers lost a second after a start, half an hour apart, with one owner and with one replaced in the middle: failed at the fourth without the change, runs with it. Five minutes apart the job fails at the fourth with and without it. All of that test's cases pass.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -26,6 +26,9 @@
 	// longRunningSettleTime is how long an attempt of a long-running task has to run before a
 	// crash of its worker does not count, since such tasks outlive many workers.
 	longRunningSettleTime = 10 * time.Second
+	// provenTime is how long an attempt of a long-running task has to run under one owner
+	// before the crashes under earlier attempts are forgotten.
+	provenTime = 10 * time.Minute
 	// isolationPatience is how long a suspect waits for a worker on which no other task
 	// has just started. On a busy service there may be none.
 	isolationPatience = time.Second
@@ -376,6 +379,22 @@
 	j.progress.Crashes[t.number] = crashes
 }
 
+// forgetCrashes forgets the crashes of a long-running task once a listed attempt has run for
+// provenTime. Over months, workers are lost now and then right after the start of a task that
+// has nothing to do with it. The time is that of the owner's own clock, since times of day
+// may be set; under a later owner it counts anew.
+func (s *Shard) forgetCrashes(now Instant, a *attempt) {
+	if a.phase != running || !a.isLongRunning() || a.ranBy(now) < provenTime {
+		return
+	}
+	j := a.task.step.job
+	if len(j.progress.Crashes[a.task.number]) == 0 || j.ended() {
+		return
+	}
+	j.setCrashes(a.task, nil)
+	s.journal.markDirty(j)
+}
+
 // resolveCrashes decides the possible crashes of a worker whose present run has answered:
 // those for which that run counts are taken back, and earlier runs are over. noRun stands
 // for a worker that is replaced. The owner that counted them may have ended since.
--- a/internal/scheduler/crash_guard_test.go
+++ b/internal/scheduler/crash_guard_test.go
@@ -189,3 +189,69 @@
 	must.SliceLen(t, 1, h.log[id].Crashes[0])
 	must.False(t, h.log[id].Crashes[0][0].Settled)
 }
+
+// runCoarsely advances the simulation by d in steps of a second.
+func (h *harness) runCoarsely(d time.Duration) {
+	for end := h.now + d; h.now < end; {
+		h.now += time.Second - tickInterval
+		h.tick()
+	}
+}
+
+// TestLongRunningTaskOutlivesItsWorkers: a long-running task was given up since now and then a
+// worker was lost soon after the task's start. The counts are kept while the task has not run
+// for long, also across owners.
+func TestLongRunningTaskOutlivesItsWorkers(t *testing.T) {
+	cases := map[string]struct {
+		// ran is for how long the task runs between two crashes.
+		ran time.Duration
+		// replaced is set if the owner is replaced in the middle of that time.
+		replaced bool
+		want     job.State
+	}{
+		"half an hour":                 {30 * time.Minute, false, job.Running},
+		"half an hour, owner replaced": {30 * time.Minute, true, job.Running},
+		"some minutes":                 {5 * time.Minute, false, job.Failed},
+		"some minutes, owner replaced": {5 * time.Minute, true, job.Failed},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 3)
+			h.run(500 * time.Millisecond)
+			id := h.submit(firstID, nil, nil, longRunningTasks(1))
+			crashes := 0
+			for ; crashes < 2*maxCrashesPerTask && !h.state(id).Final(); crashes++ {
+				h.run(time.Second)
+				ids := h.workersOf(job.TaskRef{Job: id})
+				must.SliceLen(t, 1, ids)
+				h.crashFor(time.Second, ids...)
+				h.run(time.Second)
+				must.Positive(t, len(h.log[id].Crashes[0]))
+				h.runCoarsely(c.ran / 2)
+				if c.replaced {
+					h.takeOver(false)
+				}
+				h.runCoarsely(c.ran / 2)
+				h.restart(id)
+			}
+			h.checkViolations()
+			must.Eq(t, c.want, h.state(id))
+			if c.want.Final() {
+				must.Eq(t, maxCrashesPerTask+1, crashes)
+			} else {
+				must.MapLen(t, 0, h.log[id].Crashes)
+			}
+		})
+	}
+}
+
+// restart moves a job's first task to another worker.
+func (h *harness) restart(id job.ID) {
+	for _, w := range h.workersOf(job.TaskRef{Job: id}) {
+		h.cluster.DrainWithNotice(w, 20*time.Second)
+		h.syncWorkers()
+		h.run(500 * time.Millisecond)
+		h.cluster.SetDraining(w, false)
+		h.syncWorkers()
+	}
+}
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -247,6 +247,7 @@
 		a.progressedAt = now
 	}
 	a.progress, a.load = r.Progress, r.Load
+	s.forgetCrashes(now, a)
 	if t != nil && r.Checkpoint != "" {
 		t.saveCheckpoint(r.Checkpoint)
 	}
