Record which long-running tasks had run for a while for the next owner

What callers saw: none was seen to; found by a review.

Cause: an owner knows the start of an attempt only if it has seen it, and one that it finds on a worker's list counts from then on. A crash within 10 s counts for a long-running task, and within 0.4 s it is the likely cause.

Change: once a listed attempt of a long-running task has run for 10 s, the job's progress names it (a new field, one number for each such task, written once for each start with the next record). An owner that adopts this very attempt takes these 10 s as run. A task that crashes its workers within 10 s is never named. Attempts of batch tasks, and those of the last 10 s, count as before. Earlier versions ignore the field and leave it out of the records that they write.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -127,7 +127,7 @@
 	if !a.startConfirmed() {
 		return 0
 	}
-	return max(0, at-a.startedAt)
+	return a.ranBefore + max(0, at-a.startedAt)
 }
 
 // lost describes the attempt after its worker last answered at heardAt.
@@ -379,6 +379,23 @@
 	j.progress.Crashes[t.number] = crashes
 }
 
+// markSettled records that a listed attempt of a long-running task has run for
+// longRunningSettleTime, so that the next owner does not take it for one that has just started.
+func (s *Shard) markSettled(now Instant, a *attempt) {
+	if a.phase != running || !a.isLongRunning() || a.ranBy(now) < longRunningSettleTime {
+		return
+	}
+	j := a.task.step.job
+	if j.progress.Settled[a.task.number] == a.number || j.ended() {
+		return
+	}
+	if j.progress.Settled == nil {
+		j.progress.Settled = map[int]platform.Attempt{}
+	}
+	j.progress.Settled[a.task.number] = a.number
+	s.journal.markDirty(j)
+}
+
 // forgetCrashes forgets the crashes of a long-running task once a listed attempt has run for
 // provenTime. Over months, workers are lost now and then right after the start of a task that
 // has nothing to do with it. The time is that of the owner's own clock, since times of day
--- a/internal/scheduler/crash_guard_test.go
+++ b/internal/scheduler/crash_guard_test.go
@@ -255,3 +255,35 @@
 		h.syncWorkers()
 	}
 }
+
+// TestAdoptedTaskIsNoSuspect: workers were lost right after changes of owner, each counted as a
+// crash right after the start of a long-running task that had run for minutes, and the task was
+// given up.
+func TestAdoptedTaskIsNoSuspect(t *testing.T) {
+	for _, ran := range []time.Duration{time.Second, 20 * time.Second} {
+		t.Run(ran.String(), func(t *testing.T) {
+			h := newHarness(t, 3)
+			h.run(500 * time.Millisecond)
+			id := h.submit(firstID, nil, nil, longRunningTasks(1))
+			for range 2 * maxCrashesPerTask {
+				h.run(time.Second + ran)
+				h.takeOver(false)
+				h.run(2 * tickInterval)
+				if h.state(id).Final() {
+					break
+				}
+				ids := h.workersOf(job.TaskRef{Job: id})
+				must.SliceLen(t, 1, ids)
+				h.crashFor(time.Second, ids...)
+			}
+			h.run(time.Second)
+			h.checkViolations()
+			if ran < 10*time.Second {
+				must.Eq(t, job.Failed, h.state(id))
+				return
+			}
+			must.Eq(t, job.Running, h.state(id))
+			must.MapLen(t, 0, h.log[id].Crashes)
+		})
+	}
+}
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -81,6 +81,9 @@
 	EndedMS int64 `cbor:"5,keyasint,omitempty"`
 	// Crashes lists the runs of workers that were lost under each task.
 	Crashes map[int][]Crash `cbor:"7,keyasint,omitempty"`
+	// Settled names, for each long-running task, the last attempt that has run for so long
+	// that a crash of its worker says nothing about the task.
+	Settled map[int]platform.Attempt `cbor:"8,keyasint,omitempty"`
 }
 
 // Crash is a run of a worker that was lost while an attempt of a task may have been
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -173,6 +173,7 @@
 	c.Done = append(job.BitSet(nil), p.Done...)
 	c.Failures, c.Checkpoints, c.Crashes = map[int]job.Attempts{}, map[int]string{}, map[int][]job.Crash{}
 	maps.Copy(c.Crashes, p.Crashes)
+	c.Settled = maps.Clone(p.Settled)
 	for n, f := range p.Failures {
 		c.Failures[n] = f
 	}
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -247,6 +247,7 @@
 		a.progressedAt = now
 	}
 	a.progress, a.load = r.Progress, r.Load
+	s.markSettled(now, a)
 	s.forgetCrashes(now, a)
 	if t != nil && r.Checkpoint != "" {
 		t.saveCheckpoint(r.Checkpoint)
@@ -311,6 +312,9 @@
 func (a *attempt) linkTo(t *task, s *Shard) {
 	a.task = t
 	t.seenRunning = true
+	if t.step.job.progress.Settled[t.number] == a.number {
+		a.ranBefore = longRunningSettleTime
+	}
 	a.size, a.image = t.step.spec.Reserved(), s.headroom.Image(t.step.spec.Image)
 	s.markStarted(t.step.job)
 	s.dequeue(t)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -120,7 +120,9 @@
 	// startExpiresAt is from when on an unanswered start order is not carried out any more.
 	startExpiresAt Instant
 	startedAt      Instant
-	progress       int
+	// ranBefore is for how long the attempt is known to have run under earlier owners.
+	ranBefore time.Duration
+	progress  int
 	// progressedAt is when progress last increased.
 	progressedAt Instant
 	// load is the load last listed, as in fleet.Running: the tail latency in
