Answer notices without cancellations without waiting for the table

Hosts ask by an empty notice whether the owner is alive. Since cancellations are applied also while the owner is out of touch with the store, that call took the lock under which pages of the log are applied. It no longer does if there is nothing to apply. TestCancellationReachesOwnerCutOffFromStore and all other tests of process/node pass, with the race detector.

--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -29,7 +29,9 @@
 // cancellations, which start nothing on any host, and fails.
 func (s *Service) Written(args WrittenArgs, _ *Empty) error {
 	if s.node.member.ConfirmationAge() > ownerJoinMaxAge {
-		s.node.applyRecords(cancellationsIn(args.Records))
+		if list := cancellationsIn(args.Records); len(list) > 0 {
+			s.node.applyRecords(list)
+		}
 		return errNotOwner
 	}
 	s.node.applyRecords(args.Records)
