Read the lists of a worker's new run without a wait

Callers saw tasks of a crashed worker wait after the worker was back. The owner notices the restart in the worker's entry and orders the new run to stop what it may start late. The answer to such an order tells the new run's clock, and a renewal to a worker with a known clock waits for an end, for up to 1.2 s: the lists that tell which tasks are gone came that much later.

A renewal now waits only once the lists of the worker's present run were read.

TestListsOfNewRunAreRequestedAtOnce fails on the code before. The rest of the delay lies in the pause before the renewal is sent.

--- a/internal/process/dispatch/renew.go
+++ b/internal/process/dispatch/renew.go
@@ -52,7 +52,7 @@
 		if answered {
 			failures = 0
 			if r.order.Wait == 0 {
-				// The order granted no lease; the next one will.
+				// The order may have granted no lease; the next one will.
 				continue
 			}
 			if d.awaitEndsRecorded(id, retryDelay(unrecorded)) {
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -55,12 +55,18 @@
 // then returns its lists immediately.
 func (s *Shard) RenewsAtOnce(id platform.WorkerID) bool {
 	w, ok := s.workers[id]
-	return ok && (!w.clock.known || w.unresponsive())
+	return ok && (!w.clock.known || w.unresponsive() || !w.listsRead())
 }
 
+// listsRead reports whether the lists of the worker's present run were read. The clock of a
+// new run may be known earlier, from the answer to a stop order.
+func (w *workerState) listsRead() bool { return w.listsRun == w.run }
+
 // renewWait returns how long a worker may wait for an end before it answers.
 func (s *Shard) renewWait(w *workerState) time.Duration {
 	switch {
+	case !w.listsRead():
+		return 0
 	case !w.enrolled:
 		return enrollRenewWait
 	case len(w.colocation.serving) > 0 && len(w.colocation.fillers) > 0:
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -297,3 +297,27 @@
 		})
 	}
 }
+
+// TestListsOfNewRunAreRequestedAtOnce: the answer to a stop order told the clock of a worker's
+// new run, so the first renewal waited for an end, and tasks of the old run went on waiting.
+func TestListsOfNewRunAreRequestedAtOnce(t *testing.T) {
+	h := newHarness(t, 1)
+	h.run(time.Second)
+	h.submit(firstID, fixedLength(100), nil, batchStep(1))
+	start := h.beginOnlyStart()
+	h.shard.StartAnswered(h.now, start, fleet.Answer{}, platform.ErrOutcomeUnknown)
+	h.cluster.Crash("w00")
+	h.renewLeases("w00")
+	h.cluster.Boot(h.now, "w00")
+	h.now += 100 * time.Millisecond
+	h.syncWorkers()
+	h.plan()
+	must.True(t, h.shard.RenewsAtOnce("w00"))
+	_, order, _ := h.shard.RenewOrder(h.now, "w00")
+	must.Positive(t, order.LeaseEnd)
+	must.Zero(t, order.Wait)
+	h.renewLeases("w00")
+	must.False(t, h.shard.RenewsAtOnce("w00"))
+	_, order, _ = h.shard.RenewOrder(h.now, "w00")
+	must.Positive(t, order.Wait)
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -38,9 +38,10 @@
 	// reconciled is set once the worker's lists were read under this owner's token.
 	reconciled bool
 	// listsReceived is when the latest lists arrived, listsRequested when they were
-	// requested.
+	// requested, and listsRun the run that they are of.
 	listsReceived  Instant
 	listsRequested Instant
+	listsRun       int64
 	// unresponsiveSince is when the first unanswered renew order since the last answer
 	// was sent, or zero.
 	unresponsiveSince Instant
