Keep an old run's failed renewal from marking the new run unresponsive

A renewal to a worker that crashes ends with a timeout. If the worker's entry shows the restart meanwhile, that failure marked the new run as unresponsive: it got no tasks and no lease until the next renewal, after a pause of up to 0.8 s. Only orders sent since the present run was first seen tell of it.

TestFailedRenewalOfOldRunTellsNothingOfNewRun fails on the code before.

--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -106,10 +106,11 @@
 func (s *Shard) leaseLength() time.Duration { return min(leaseLength, s.bounds.MaxLease) }
 
 // RenewFailed records that a worker did not answer a renew order sent at the time sent.
-// Once all its leases have expired nothing runs there any more.
+// Once all its leases have expired nothing runs there any more. An order that was sent before
+// the worker's present run was seen says nothing of that run.
 func (s *Shard) RenewFailed(now, sent Instant, id platform.WorkerID) {
 	w, ok := s.workers[id]
-	if !ok {
+	if !ok || sent < w.runSeenAt {
 		return
 	}
 	if w.unresponsiveSince == 0 {
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -321,3 +321,23 @@
 	_, order, _ = h.shard.RenewOrder(h.now, "w00")
 	must.Positive(t, order.Wait)
 }
+
+// TestFailedRenewalOfOldRunTellsNothingOfNewRun: a renewal that was sent before a restart
+// was noticed failed afterwards, and the new run counted as unresponsive.
+func TestFailedRenewalOfOldRunTellsNothingOfNewRun(t *testing.T) {
+	h := newHarness(t, 1)
+	h.run(time.Second)
+	id := h.submit(firstID, fixedLength(1), nil, batchStep(1))
+	sent := h.now
+	h.cluster.Crash("w00")
+	h.cluster.Boot(h.now, "w00")
+	h.now += 100 * time.Millisecond
+	h.syncWorkers()
+	h.renewLeases("w00")
+	h.record()
+	h.shard.RenewFailed(h.now, sent, "w00")
+	h.plan()
+	must.Eq(t, 1, h.cluster.Running(id))
+	h.shard.RenewFailed(h.now, h.now, "w00")
+	must.True(t, h.shard.RenewsAtOnce("w00"))
+}
