Renew a worker at once when its entry shows a restart

Tasks of a crashed worker waited after it was back: the owner reads the entries each 0.3 s and notices the restart there, but the loop that requests the lists went on with its pause after an unanswered renewal, up to 0.8 s.

SetWorker reports the restart, and the dispatcher ends the pause. The retries start again with the shortest delay, since the new run has left none unanswered.

TestRestartEndsPauseBeforeRenewal fails on the code before.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -87,8 +87,9 @@
 	starts startWindow
 	// recorded is closed and replaced each time progress has been recorded.
 	recorded chan struct{}
-	// renewing holds the workers for which a renewLoop runs.
-	renewing map[platform.WorkerID]bool
+	// renewing holds the workers for which a renewLoop runs, each with the channel that ends
+	// the loop's pause after an unanswered renewal.
+	renewing map[platform.WorkerID]chan struct{}
 	// pendingWrites are the records that callers wait for and no append contains yet.
 	pendingWrites []*pendingWrite
 	// err is why the shard was given up.
@@ -114,7 +115,7 @@
 		planRequested: make(chan struct{}, 1), recordRequested: make(chan struct{}, 1),
 		stopRequested: make(chan struct{}), finalRecordDone: make(chan struct{}),
 		shard:         scheduler.New(c.Bounds, c.Ownership, c.Clock(), c.Predecessors),
-		waitingGauges: map[int]metrics.Gauge{}, renewing: map[platform.WorkerID]bool{}, recorded: make(chan struct{}),
+		waitingGauges: map[int]metrics.Gauge{}, renewing: map[platform.WorkerID]chan struct{}{}, recorded: make(chan struct{}),
 	}
 	d.stops = &lane{goroutines: &d.goroutines, limit: maxConcurrentStops}
 	d.throttles = &lane{goroutines: &d.goroutines, limit: maxConcurrentThrottles}
@@ -290,8 +291,11 @@
 			}
 		}
 		for _, w := range c.Set {
-			s.SetWorker(now, w)
+			restarted := s.SetWorker(now, w)
 			d.startRenewing(w.ID)
+			if restarted {
+				signal(d.renewing[w.ID])
+			}
 		}
 		for _, id := range c.Removed {
 			s.RemoveWorker(now, id)
--- a/internal/process/dispatch/flow_test.go
+++ b/internal/process/dispatch/flow_test.go
@@ -62,6 +62,9 @@
 	atOnce, maxAtOnce int
 	renewals          map[platform.WorkerID]int
 	contacted         map[platform.WorkerID]time.Time
+	// run is the run that workers answer as; failedAt is when a renewal last failed.
+	run      int64
+	failedAt time.Time
 	// leased is when a worker first got a lease.
 	leased map[platform.WorkerID]time.Time
 	// lostFor is how long all workers are lost after the first renewal.
@@ -74,7 +77,7 @@
 		bytesPerSecond: bytesPerSecond, silent: map[platform.WorkerID]bool{}, lost: map[platform.WorkerID]bool{},
 		running: map[platform.WorkerID]map[job.TaskRef]platform.Attempt{}, lastStart: map[job.ID]time.Time{},
 		firstStop: map[attemptKey]time.Time{}, stopsInFlight: map[attemptKey]int{},
-		renewals: map[platform.WorkerID]int{}, contacted: map[platform.WorkerID]time.Time{}, leased: map[platform.WorkerID]time.Time{},
+		run: 1, renewals: map[platform.WorkerID]int{}, contacted: map[platform.WorkerID]time.Time{}, leased: map[platform.WorkerID]time.Time{},
 	}
 }
 
@@ -184,12 +187,13 @@
 		l.atOnce--
 	}
 	if lost {
+		l.failedAt = time.Now()
 		return fleet.RenewReply{}, platform.ErrOutcomeUnknown
 	}
 	if l.contacted[w.ID].IsZero() {
 		l.contacted[w.ID] = time.Now()
 	}
-	reply := fleet.RenewReply{Verdict: fleet.Accepted, Clock: l.clock(), Started: 1}
+	reply := fleet.RenewReply{Verdict: fleet.Accepted, Clock: l.clock(), Started: l.run}
 	for task, attempt := range l.running[w.ID] {
 		reply.Running = append(reply.Running, fleet.Running{Task: task, Attempt: attempt, Progress: 100})
 	}
@@ -220,10 +224,7 @@
 		}()
 		changes := fleet.Changes{All: true}
 		for i := range workers {
-			changes.Set = append(changes.Set, fleet.Worker{
-				ID: workerID(i), Service: "s", Rack: platform.RackID(fmt.Sprintf("r%d", i/10)),
-				Capacity: platform.Resources{MilliCPU: 100_000, MemoryMB: 100_000},
-			})
+			changes.Set = append(changes.Set, workerEntry(i))
 		}
 		d.SetWorkers(d.Clock(), changes)
 		time.Sleep(2 * time.Second)
@@ -231,6 +232,13 @@
 	})
 }
 
+func workerEntry(i int) fleet.Worker {
+	return fleet.Worker{
+		ID: workerID(i), Service: "s", Rack: platform.RackID(fmt.Sprintf("r%d", i/10)),
+		Capacity: platform.Resources{MilliCPU: 100_000, MemoryMB: 100_000},
+	}
+}
+
 func workerID(i int) platform.WorkerID { return platform.WorkerID(fmt.Sprintf("w%03d", i)) }
 
 // entry returns a job of long-running tasks.
--- a/internal/process/dispatch/renew.go
+++ b/internal/process/dispatch/renew.go
@@ -29,15 +29,17 @@
 // startRenewing starts the loop that renews a worker's leases and reads its lists of
 // running and ended attempts. The caller holds d.mu.
 func (d *Dispatcher) startRenewing(id platform.WorkerID) {
-	if d.renewing[id] {
+	if d.renewing[id] != nil {
 		return
 	}
-	d.renewing[id] = true
-	d.goroutines.Go(func() { d.renewLoop(id) })
+	restarted := make(chan struct{}, 1)
+	d.renewing[id] = restarted
+	d.goroutines.Go(func() { d.renewLoop(id, restarted) })
 }
 
-// renewLoop runs until the shard no longer needs the worker.
-func (d *Dispatcher) renewLoop(id platform.WorkerID) {
+// renewLoop runs until the shard no longer needs the worker. restarted ends the pause after
+// an unanswered renewal.
+func (d *Dispatcher) renewLoop(id platform.WorkerID, restarted <-chan struct{}) {
 	failures, unrecorded := 0, 0
 	for d.ctx.Err() == nil {
 		r, ok := d.nextRenewal(id)
@@ -68,8 +70,14 @@
 		if mayAct {
 			failures++
 		}
-		// The loop ends with the context.
-		_ = pause.For(d.ctx, retryDelay(failures))
+		retry := time.NewTimer(retryDelay(failures))
+		select {
+		case <-retry.C:
+		case <-restarted:
+			failures = 0
+		case <-d.ctx.Done():
+		}
+		retry.Stop()
 	}
 }
 
--- a/internal/process/dispatch/renew_test.go
+++ b/internal/process/dispatch/renew_test.go
@@ -105,3 +105,31 @@
 		must.Less(t, maxRenewPause, l.leased[workerID(0)].Sub(l.contacted[workerID(0)]))
 	})
 }
+
+// TestRestartEndsPauseBeforeRenewal: a restart that the worker's entry had shown was looked
+// into only after the pause that follows an unanswered renewal, of up to 0.8 s.
+func TestRestartEndsPauseBeforeRenewal(t *testing.T) {
+	l := newLinkedWorkers(0)
+	withLinkedWorkers(t, l, 1, func(d *Dispatcher) {
+		w := workerEntry(0)
+		l.mu.Lock()
+		l.lost[w.ID] = true
+		l.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		l.mu.Lock()
+		for l.failedAt.IsZero() || time.Since(l.failedAt) > 20*time.Millisecond {
+			l.mu.Unlock()
+			time.Sleep(10 * time.Millisecond)
+			l.mu.Lock()
+		}
+		before := l.renewals[w.ID]
+		l.lost[w.ID], l.run = false, 2
+		l.mu.Unlock()
+		w.Started = 2
+		d.SetWorkers(d.Clock(), fleet.Changes{Set: []fleet.Worker{w}})
+		time.Sleep(2 * roundTrip)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		must.Greater(t, before, l.renewals[w.ID])
+	})
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -176,12 +176,12 @@
 	return w
 }
 
-// SetWorker applies a worker's entry in the platform's store. A draining worker that the
-// shard does not have is left out: nothing runs on it, since it would be enrolled, and
-// nothing may start there.
-func (s *Shard) SetWorker(now Instant, info fleet.Worker) {
+// SetWorker applies a worker's entry in the platform's store, and reports whether the entry
+// is the first sign of a restart. A draining worker that the shard does not have is left out:
+// nothing runs on it, since it would be enrolled, and nothing may start there.
+func (s *Shard) SetWorker(now Instant, info fleet.Worker) (restarted bool) {
 	if _, known := s.workers[info.ID]; !known && info.Draining {
-		return
+		return false
 	}
 	w := s.workerFor(info.ID)
 	if w.info.Addr != info.Addr {
@@ -190,7 +190,7 @@
 	if w.info.Started == info.Started && info.Started != 0 && w.info.Capacity != info.Capacity {
 		s.noteCapacityChange()
 	}
-	restarted := w.run != 0 && info.Started > w.run && info.Started != w.runBefore
+	restarted = w.run != 0 && info.Started > w.run && info.Started != w.runBefore
 	if restarted {
 		// The entry of the next run does not tell whether this one was to leave.
 		w.closeRun()
@@ -202,6 +202,7 @@
 	if restarted {
 		s.handleRestart(now, w, info.Started)
 	}
+	return restarted
 }
 
 // RemoveWorker records that a worker no longer has an entry. Its attempts remain
