Settle unanswered starts soon after their worker has restarted

A worker crashes before it answers a start order. The task may start elsewhere only once the worker's next run has accepted the order to stop the attempt and lists without the attempt were requested after that.

While a new run has yet to accept such an order, renewals wait for 0.25 s; once it has, the next one is sent at once and without a wait.

TestTaskOfUnansweredStartGoesOnAfterRestart fails on the code before.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -122,6 +122,12 @@
 // listed the attempt.
 func (a *attempt) startConfirmed() bool { return a.confirmedAt != 0 && a.startedAt != 0 }
 
+// mayNotHaveStarted reports whether no answer tells that the attempt was started, and the run
+// that was ordered to start it is over. The order may still reach the present run.
+func (a *attempt) mayNotHaveStarted() bool {
+	return a.startUncertain && a.startedAt == 0 && a.run != a.worker.run
+}
+
 // ranBy returns for how long the attempt is known to have run at the given time.
 func (a *attempt) ranBy(at Instant) time.Duration {
 	if !a.startConfirmed() {
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -18,6 +18,9 @@
 	// enrollRenewWait applies until the worker's enrollment is in the log, which takes
 	// about 50 ms; its leases can be extended only then.
 	enrollRenewWait = 250 * time.Millisecond
+	// absenceRenewWait applies until a new run of the worker has accepted the orders to stop
+	// attempts that may have been started late.
+	absenceRenewWait = 250 * time.Millisecond
 	// measureRenewWait applies to workers on which fillers run beside serving tasks:
 	// latency measurements come with their answers.
 	measureRenewWait = 600 * time.Millisecond
@@ -55,7 +58,7 @@
 // then returns its lists immediately.
 func (s *Shard) RenewsAtOnce(id platform.WorkerID) bool {
 	w, ok := s.workers[id]
-	return ok && (!w.clock.known || w.unresponsive() || !w.listsRead())
+	return ok && (!w.clock.known || w.unresponsive() || s.renewWait(w) == 0)
 }
 
 // listsRead reports whether the lists of the worker's present run were read. The clock of a
@@ -65,16 +68,41 @@
 // renewWait returns how long a worker may wait for an end before it answers.
 func (s *Shard) renewWait(w *workerState) time.Duration {
 	switch {
-	case !w.listsRead():
+	case !w.listsRead() || w.absenceDue():
 		return 0
 	case !w.enrolled:
 		return enrollRenewWait
+	case w.absenceAwaited():
+		return absenceRenewWait
 	case len(w.colocation.serving) > 0 && len(w.colocation.fillers) > 0:
 		return measureRenewWait
 	}
 	return maxRenewWait
 }
 
+// absenceAwaited reports whether the worker has restarted and is to stop an attempt that it
+// may not have started. It then has no end to list: only lists without the attempt tell that
+// the task may start elsewhere.
+func (w *workerState) absenceAwaited() bool {
+	for _, a := range w.attempts {
+		if a.phase == stopping && a.mayNotHaveStarted() {
+			return true
+		}
+	}
+	return false
+}
+
+// absenceDue reports whether the worker has accepted the order to stop such an attempt since
+// its last lists were requested, so that the next lists tell.
+func (w *workerState) absenceDue() bool {
+	for _, a := range w.attempts {
+		if a.phase == stopped && a.mayNotHaveStarted() && a.confirmedAt >= w.listsRequested {
+			return true
+		}
+	}
+	return false
+}
+
 // relaxedRenewPause is the pause before the next renew order to a worker whose next end
 // is not urgent. Each call has a cost, and one call reports all ends within the pause.
 const relaxedRenewPause = 350 * time.Millisecond
@@ -84,7 +112,7 @@
 // are urgent.
 func (s *Shard) RenewPause(id platform.WorkerID) time.Duration {
 	w, ok := s.workers[id]
-	if !ok || w.unresponsive() || s.waiting.hasTasks() {
+	if !ok || w.unresponsive() || s.waiting.hasTasks() || w.absenceAwaited() || w.absenceDue() {
 		return 0
 	}
 	for _, a := range w.attempts {
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -316,6 +316,7 @@
 	_, order, _ := h.shard.RenewOrder(h.now, "w00")
 	must.Positive(t, order.LeaseEnd)
 	must.Zero(t, order.Wait)
+	h.now += time.Millisecond
 	h.renewLeases("w00")
 	must.False(t, h.shard.RenewsAtOnce("w00"))
 	_, order, _ = h.shard.RenewOrder(h.now, "w00")
@@ -341,3 +342,38 @@
 	h.shard.RenewFailed(h.now, h.now, "w00")
 	must.True(t, h.shard.RenewsAtOnce("w00"))
 }
+
+// TestTaskOfUnansweredStartGoesOnAfterRestart: a worker crashed before it had answered a start
+// order. Its next run has no end of the attempt to list, so the task went on waiting for two
+// renewals, each of which the worker might hold for 1.2 s.
+func TestTaskOfUnansweredStartGoesOnAfterRestart(t *testing.T) {
+	h := newHarness(t, 1)
+	h.run(time.Second)
+	id := h.submit(firstID, fixedLength(100), nil, batchStep(1))
+	for range 2 {
+		start := h.beginOnlyStart()
+		h.shard.StartAnswered(h.now, start, fleet.Answer{}, platform.ErrOutcomeUnknown)
+	}
+	h.loseStops()
+	h.cluster.Crash("w00")
+	h.renewLeases("w00")
+	h.cluster.Boot(h.now, "w00")
+	h.now += time.Second
+	h.syncWorkers()
+	h.renewLeases("w00")
+	h.loseStops()
+	must.False(t, h.shard.RenewsAtOnce("w00"))
+	_, order, _ := h.shard.RenewOrder(h.now, "w00")
+	must.Between(t, time.Millisecond, order.Wait, 300*time.Millisecond)
+	h.now += order.Wait + 100*time.Millisecond
+	h.renewLeases("w00")
+	h.plan()
+	must.True(t, h.shard.RenewsAtOnce("w00"))
+	h.now += time.Millisecond
+	h.renewLeases("w00")
+	must.False(t, h.shard.RenewsAtOnce("w00"))
+	h.record()
+	h.plan()
+	must.Eq(t, 1, h.cluster.Running(id))
+	h.checkViolations()
+}
