--- a/internal/standin/cluster/idle.go
+++ b/internal/standin/cluster/idle.go
@@ -94,6 +94,13 @@
 	return idle
 }
 
+// LastStart returns when an attempt of a task was last started, or zero.
+func (c *Cluster) LastStart(ref job.TaskRef) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.jobs[ref.Job].lastStart[ref]
+}
+
 // failed reports whether a task has failed so often that the job is over.
 func (t *jobModel) failed() bool {
 	for _, n := range t.failures {
