Acknowledge no ends of a worker that may have restarted

Cause: while the store is away and most workers are down, the owner may not act and sends no renew orders, so none goes unanswered. The new run dropped its end 1 before it was listed, the owner took the attempt for lost ("not listed") and started the task again. Platforms restart workers under the same ID, and the renew order names the ID only, so the stand-in is not too loose.

Change: ends are acknowledged, and leases extended on the worker's clock, only if its lists were received within the last second. An older order requests the lists only, as for a worker that left an order unanswered; the next one follows at once.

--- a/internal/process/dispatch/renew.go
+++ b/internal/process/dispatch/renew.go
@@ -107,7 +107,7 @@
 	r := renewal{release: func() {}}
 	for held := false; ; held = true {
 		d.mu.Lock()
-		if held || !d.shard.RenewsAtOnce(id) {
+		if held || !d.shard.RenewsAtOnce(d.Clock(), id) {
 			r.sent = d.Clock()
 			d.shard.LogRead(r.sent - d.ConfirmationAge())
 			ok := false
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -24,6 +24,10 @@
 	// measureRenewWait applies to workers on which fillers run beside serving tasks:
 	// latency measurements come with their answers.
 	measureRenewWait = 600 * time.Millisecond
+	// listsValidity is for how long after its lists were received a worker counts as the
+	// same run. A worker takes longer to restart. While the owner may not act it sends no
+	// renew orders, so none goes unanswered that would tell of a restart.
+	listsValidity = time.Second
 	// leaseExpiryMargin covers the time between reading the clock and using the
 	// reading.
 	leaseExpiryMargin = 100 * time.Millisecond
@@ -31,21 +35,22 @@
 
 // RenewOrder returns the next order that renews the leases of a worker and requests its
 // lists. It requests only the lists while the worker's clock is not known, while the
-// worker's enrollment is not in the log, and while the worker is unresponsive: if each
-// retry requested longer leases, they would never be known to have expired.
+// worker's enrollment is not in the log, while the worker may have restarted, and while it
+// is unresponsive: if each retry requested longer leases, they would never be known to have
+// expired.
 func (s *Shard) RenewOrder(now Instant, id platform.WorkerID) (fleet.Worker, fleet.RenewOrder, bool) {
 	w, ok := s.workers[id]
 	if !ok {
 		return fleet.Worker{}, fleet.RenewOrder{}, false
 	}
 	o := fleet.RenewOrder{Token: s.epoch}
-	if !w.unresponsive() {
-		// An unresponsive worker may have restarted, and a new run numbers its ends
-		// anew.
+	sameRun := !w.mayHaveRestarted(now)
+	if sameRun {
+		// A new run numbers its ends anew.
 		o.Acknowledged = w.ended.acknowledgeable(s.journal.lastRecorded)
 		w.ended.sent = o.Acknowledged
 	}
-	if w.clock.known && !w.unresponsive() {
+	if w.clock.known && sameRun {
 		if w.enrolled {
 			o.LeaseEnd = w.clock.extendLease(now, s.leaseLength())
 		}
@@ -56,9 +61,14 @@
 
 // RenewsAtOnce reports whether the next renew order to a worker has no wait: the worker
 // then returns its lists immediately.
-func (s *Shard) RenewsAtOnce(id platform.WorkerID) bool {
+func (s *Shard) RenewsAtOnce(now Instant, id platform.WorkerID) bool {
 	w, ok := s.workers[id]
-	return ok && (!w.clock.known || w.unresponsive() || s.renewWait(w) == 0)
+	return ok && (!w.clock.known || w.mayHaveRestarted(now) || s.renewWait(w) == 0)
+}
+
+// mayHaveRestarted reports whether a worker may have restarted since it last answered.
+func (w *workerState) mayHaveRestarted(now Instant) bool {
+	return w.unresponsive() || now > w.listsReceived+listsValidity
 }
 
 // listsRead reports whether the lists of the worker's present run were read. The clock of a
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -101,6 +101,30 @@
 	must.Zero(t, after.Acknowledged)
 }
 
+// TestRestartWhileOwnerMayNotAct: an owner that may not act sends no renew order, so no
+// unanswered one tells it of a restart. It acknowledged the new run's ends by the numbers of
+// the old run's before they were listed, and started the task again.
+func TestRestartWhileOwnerMayNotAct(t *testing.T) {
+	h := newHarness(t, 1)
+	first := h.submit(firstID, fixedLength(0.2), nil, batchStep(4))
+	h.run(time.Second)
+	must.Eq(t, job.Done, h.state(first))
+	starts := h.cluster.Starts()
+	h.cluster.Crash("w00")
+	h.now += 3 * time.Second
+	h.cluster.Boot(h.now, "w00")
+	second := h.submit(secondID, fixedLength(0.2), nil, batchStep(1))
+	h.plan()
+	must.Eq(t, starts+1, h.cluster.Starts())
+	h.now += 300 * time.Millisecond
+	h.run(300 * time.Millisecond)
+	h.syncWorkers()
+	h.run(3 * time.Second)
+	h.checkViolations()
+	must.Eq(t, starts+1, h.cluster.Starts())
+	must.Eq(t, job.Done, h.state(second))
+}
+
 // TestStopIsRepeatedAfterRestart: a start order reached a worker's new run late, after the
 // old run had accepted the order to stop the attempt. The attempt was listed as running,
 // but never ordered to stop again, and ran on after its job was cancelled.
@@ -312,13 +336,13 @@
 	h.now += 100 * time.Millisecond
 	h.syncWorkers()
 	h.plan()
-	must.True(t, h.shard.RenewsAtOnce("w00"))
+	must.True(t, h.shard.RenewsAtOnce(h.now, "w00"))
 	_, order, _ := h.shard.RenewOrder(h.now, "w00")
 	must.Positive(t, order.LeaseEnd)
 	must.Zero(t, order.Wait)
 	h.now += time.Millisecond
 	h.renewLeases("w00")
-	must.False(t, h.shard.RenewsAtOnce("w00"))
+	must.False(t, h.shard.RenewsAtOnce(h.now, "w00"))
 	_, order, _ = h.shard.RenewOrder(h.now, "w00")
 	must.Positive(t, order.Wait)
 }
@@ -340,7 +364,7 @@
 	h.plan()
 	must.Eq(t, 1, h.cluster.Running(id))
 	h.shard.RenewFailed(h.now, h.now, "w00")
-	must.True(t, h.shard.RenewsAtOnce("w00"))
+	must.True(t, h.shard.RenewsAtOnce(h.now, "w00"))
 }
 
 // TestTaskOfUnansweredStartGoesOnAfterRestart: a worker crashed before it had answered a start
@@ -362,16 +386,16 @@
 	h.syncWorkers()
 	h.renewLeases("w00")
 	h.loseStops()
-	must.False(t, h.shard.RenewsAtOnce("w00"))
+	must.False(t, h.shard.RenewsAtOnce(h.now, "w00"))
 	_, order, _ := h.shard.RenewOrder(h.now, "w00")
 	must.Between(t, time.Millisecond, order.Wait, 300*time.Millisecond)
 	h.now += order.Wait + 100*time.Millisecond
 	h.renewLeases("w00")
 	h.plan()
-	must.True(t, h.shard.RenewsAtOnce("w00"))
+	must.True(t, h.shard.RenewsAtOnce(h.now, "w00"))
 	h.now += time.Millisecond
 	h.renewLeases("w00")
-	must.False(t, h.shard.RenewsAtOnce("w00"))
+	must.False(t, h.shard.RenewsAtOnce(h.now, "w00"))
 	h.record()
 	h.plan()
 	must.Eq(t, 1, h.cluster.Running(id))
