Fail no job for a crash of a worker on which its task had run for a while

Cause: two crashed workers fail a job if its task is to blame for the later crash.

Change: only workers on which the task had just started count towards the two. A task that had run for settleTime is an unlikely cause, and its end may be unlisted. The limits of three and four crashes stay as they are, so a task that crashes its workers is given up at the fourth crash at the latest.

TestUnlistedEndIsNoLikelyCause failed before.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -32,8 +32,8 @@
 	// isolationPatience is how long a suspect waits for a worker on which no other task
 	// has just started. On a busy service there may be none.
 	isolationPatience = time.Second
-	// A job fails once one of its tasks was running on maxBlamedCrashes workers that crashed
-	// and was to blame for a later crash than the first, had just been started at
+	// A job fails once one of its tasks had just started on maxBlamedCrashes workers that
+	// crashed and was to blame for a later crash than the first, had just been started at
 	// maxEarlyCrashes crashes, or may have been there at maxPossibleCrashes.
 	maxBlamedCrashes   = 2
 	maxEarlyCrashes    = 3
@@ -480,7 +480,8 @@
 func tooManyCrashes(crashes []job.Crash) bool {
 	early, possible, blamed, workers := 0, 0, false, map[platform.WorkerID]bool{}
 	for i, c := range crashes {
-		if c.Over && c.Started {
+		if c.Over && c.Started && !c.Settled {
+			// A settled task may have ended before the crash, with its end unlisted.
 			workers[c.Worker] = true
 		}
 		if c.Over && !c.Settled {
--- a/internal/scheduler/crash_guard_test.go
+++ b/internal/scheduler/crash_guard_test.go
@@ -287,3 +287,28 @@
 		})
 	}
 }
+
+// TestUnlistedEndIsNoLikelyCause: a task ended on a worker that crashed before it had listed
+// the end, and had just started on the next worker that crashed. Its job failed, although it
+// had run on one of them only.
+func TestUnlistedEndIsNoLikelyCause(t *testing.T) {
+	h := newHarness(t, 3)
+	h.run(500 * time.Millisecond)
+	id := h.submit(firstID, fixedLength(0.7), nil, batchStep(1))
+	task := job.TaskRef{Job: id}
+	h.run(600 * time.Millisecond)
+	first := h.workersOf(task)
+	must.Len(t, 1, first)
+	h.cluster.SetPartitioned(first[0], true)
+	h.run(300 * time.Millisecond)
+	must.Zero(t, h.cluster.Running(id))
+	h.crashFor(time.Second, first[0])
+	h.runUntilStart(2 * time.Second)
+	second := h.workersOf(task)
+	must.Len(t, 1, second)
+	h.crashFor(time.Second, second[0])
+	must.Eq(t, 1, h.cluster.CrashesUnder(task))
+	h.run(5 * time.Second)
+	must.Eq(t, job.Done, h.state(id))
+	h.checkViolations()
+}
