An owner that alone gets no answers from the store leaves the shard to others

What callers see: while the answers of the store to the owner are lost, and the store goes on carrying out its joins, the shard stays with an owner that hears of no new job and records no end. It starts tasks on entries of workers that it cannot read any more; if the capacity of a worker changes then for the first time, LIMIT is broken.

Cause: the store's group only asks whether a host joins. The owner does not know whether the other hosts are any better off, and so keeps the shard as in an outage for all.

Change: hosts that append a record themselves tell the owner of it (Service.Written). An owner whose own joins have had no answer since, for 1.5 s in all and 0.6 s after the first such notice, steps aside: it leaves the group and serves on until another host has taken over. Without such a notice nothing changes: in an outage for all hosts the owner goes on as before.

--- a/internal/experiment/day/capacity_test.go
+++ b/internal/experiment/day/capacity_test.go
@@ -41,14 +41,14 @@
 	t.Parallel()
 	t.Run("down", func(t *testing.T) { playFirstChange(t, StoreDown, AllHosts) })
 	t.Run("busy", func(t *testing.T) { playFirstChange(t, StoreBusy, AllHosts) })
-	t.Run("owner gets no answers", func(t *testing.T) { playFirstChange(t, StoreLost, Owner) })
 }
 
 // TestFirstCapacityChangeWhileOwnerLacksStore: an owner that could not reach the store started
-// tasks on old capacities instead of leaving the shard to a host that could.
+// tasks on old capacities instead of leaving the shard to a host that could. With lost answers
+// the store goes on taking its joins.
 func TestFirstCapacityChangeWhileOwnerLacksStore(t *testing.T) {
 	t.Parallel()
-	for _, kind := range []Kind{StoreDown, StoreBusy, CutHost} {
+	for _, kind := range []Kind{StoreDown, StoreBusy, StoreLost, CutHost} {
 		t.Run(string(kind), func(t *testing.T) { playFirstChange(t, kind, Owner) })
 	}
 }
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -307,6 +307,12 @@
 	d.entriesSeen.Store(true)
 }
 
+// RequireRecentEntries makes the shard start nothing on old entries of workers until they
+// have been read again: another host may have seen them change.
+func (d *Dispatcher) RequireRecentEntries() {
+	d.updateShard(func(s *scheduler.Shard, _ scheduler.Instant) { s.RequireRecentEntries() })
+}
+
 // SetCordoned sets the workers that get no new tasks and from which tasks are moved
 // away.
 func (d *Dispatcher) SetCordoned(ids []platform.WorkerID) {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -136,6 +136,10 @@
 	// steppedAsideAt is when the host last had to leave the group, in nanoseconds of Clock,
 	// or zero.
 	steppedAsideAt atomic.Int64
+	// othersWroteAt is when another host first told of records that the store had taken from
+	// it, although the store did not answer this host's joins any more, in nanoseconds of
+	// Clock, or zero.
+	othersWroteAt atomic.Int64
 	// offering is set while the host, still the owner, leaves the shard to others.
 	offering atomic.Bool
 	// handBackAt is the time of the last attempt to hand the shard to a preferred host,
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -35,6 +35,9 @@
 		return
 	}
 	if err != nil {
+		if d != nil {
+			n.checkOutOfTouch(d)
+		}
 		if n.member.ConfirmationAge() > group.TTL {
 			// The store may have assigned the shard to another host meanwhile.
 			n.unserved.end()
@@ -72,6 +75,8 @@
 var (
 	errNotLoaded = errors.New("the jobs are not loaded")
 	errEpochUsed = errors.New("the host has owned the shard under this epoch")
+	// errOutOfTouch: the store answers other hosts, but not this one.
+	errOutOfTouch = errors.New("the store answers other hosts only")
 )
 
 // checkServing gives the shard up once the dispatcher d has been unable to serve it for
@@ -95,6 +100,36 @@
 	n.requestStepAside(lasted, reason)
 }
 
+// checkOutOfTouch leaves the shard to others once the store has answered none of the host's
+// joins for maxOutOfTouch while it took records from another host. The store may go on
+// carrying out the joins, and then keeps the shard with the host. Until another host has
+// taken over, the host starts nothing on entries that the others may have seen change.
+func (n *Node) checkOutOfTouch(d *dispatch.Dispatcher) {
+	silent := n.member.ConfirmationAge()
+	if n.steppingAside || n.leaving.Load() || silent < maxOutOfTouch || !n.othersReachStore(silent) {
+		return
+	}
+	d.RequireRecentEntries()
+	n.requestStepAside(silent, errOutOfTouch)
+}
+
+// noteOthersWrite records that the store takes records from another host, although it does
+// not answer this host's joins.
+func (n *Node) noteOthersWrite() {
+	now := n.Clock()
+	if at := time.Duration(n.othersWroteAt.Load()); at <= now-n.member.ConfirmationAge() {
+		n.othersWroteAt.Store(int64(now))
+	}
+}
+
+// othersReachStore reports whether the store has taken records from another host since it
+// answered the latest join of this host, the time silent ago. After an outage for all hosts
+// another one may be answered first, so the joins of a while have to be unanswered.
+func (n *Node) othersReachStore(silent time.Duration) bool {
+	now, at := n.Clock(), time.Duration(n.othersWroteAt.Load())
+	return at > now-silent && now-at >= outOfTouchDelay
+}
+
 // claim takes over the shard. After an error the store may assign it to another host.
 func (n *Node) claim(epoch platform.Epoch) error {
 	n.takingOver.Store(true)
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -29,6 +29,9 @@
 // cancellations, which start nothing on any host, and fails.
 func (s *Service) Written(args WrittenArgs, _ *Empty) error {
 	if s.node.member.ConfirmationAge() > ownerJoinMaxAge {
+		if len(args.Records) > 0 {
+			s.node.noteOthersWrite()
+		}
 		if list := cancellationsIn(args.Records); len(list) > 0 {
 			s.node.applyRecords(list)
 		}
--- a/internal/process/node/stepaside.go
+++ b/internal/process/node/stepaside.go
@@ -23,6 +23,13 @@
 	// maxUnable is how long an owner may be unable to act. The leases that it has granted
 	// are over by then, so that nothing that it could go on with is lost.
 	maxUnable = scheduler.AuthorityBound
+	// maxOutOfTouch is how long the store may answer none of an owner's joins while it takes
+	// records from another host. The next owner then reads the workers' entries before a
+	// reduction of a capacity that this one could not read is in force.
+	maxOutOfTouch = 1500 * time.Millisecond
+	// outOfTouchDelay is how long the store may leave the host's joins unanswered after it
+	// has taken records from another host: two joins and the answer of a slow store.
+	outOfTouchDelay = 600 * time.Millisecond
 	// minStepAside is how long a host that reads the log, but cannot take over, stays out of
 	// the group. It is longer than maxUnclaimed, since the next host may be unable as well.
 	// The time doubles while nobody takes over, up to maxStepAside.
--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -180,6 +180,28 @@
 	}
 }
 
+// TestOldEntriesThatOthersCanRead: an owner that alone got no answers from the store started
+// tasks on capacities that workers no longer had.
+func TestOldEntriesThatOthersCanRead(t *testing.T) {
+	h := newHarness(t, 2)
+	h.run(time.Second)
+	h.syncWorkers()
+	h.shard.RequireRecentEntries()
+	h.submit(firstID, fixedLength(0.5), nil, batchStep(500))
+	h.run(4 * time.Second)
+	starts := h.cluster.Starts()
+	must.Positive(t, starts)
+	h.run(4 * time.Second)
+	must.Eq(t, starts, h.cluster.Starts())
+	h.syncWorkers()
+	h.run(4 * time.Second)
+	must.Greater(t, starts, h.cluster.Starts(), must.Sprint("entries that were read count again"))
+	starts = h.cluster.Starts()
+	h.run(4 * time.Second)
+	must.Greater(t, starts, h.cluster.Starts(), must.Sprint("and are not required to be recent any more"))
+	h.checkViolations()
+}
+
 // TestQueuedStartWithStaleEntries: a start order that waited to be sent was sent after the
 // entries had become too old.
 func TestQueuedStartWithStaleEntries(t *testing.T) {
--- a/internal/scheduler/entries.go
+++ b/internal/scheduler/entries.go
@@ -13,14 +13,21 @@
 	readThrough Instant
 	// capacityChanged is set once the capacity of a worker has changed during its run.
 	capacityChanged bool
+	// recentRequired is set from RequireRecentEntries until entries are read again.
+	recentRequired bool
 }
 
 // EntriesRead records that SetWorker and RemoveWorker were called for every change of the
 // entries up to the time through.
 func (s *Shard) EntriesRead(through Instant) {
 	s.entries.readThrough = max(s.entries.readThrough, through)
+	s.entries.recentRequired = false
 }
 
+// RequireRecentEntries makes the shard start nothing on entries older than maxEntryAge, until
+// the next EntriesRead, even if no capacity has been seen to change.
+func (s *Shard) RequireRecentEntries() { s.entries.recentRequired = true }
+
 // noteCapacityChange records that the capacity of a worker has changed during its run, for
 // this owner and the next ones.
 func (s *Shard) noteCapacityChange() {
@@ -34,5 +41,5 @@
 // have shown. Without access to the store an owner continues as long as the capacities of
 // its workers do not change.
 func (s *Shard) CapacitiesKnown(now Instant) bool {
-	return !s.entries.capacityChanged || now <= s.entries.readThrough+maxEntryAge
+	return !s.entries.capacityChanged && !s.entries.recentRequired || now <= s.entries.readThrough+maxEntryAge
 }
