Leave the shard with its owner if the next host could serve it no better

What callers see: while no host can read the workers' entries, or the store takes empty appends and no records, the shard goes from host to host each 10 s. Each change costs a takeover, after which tasks of the owner before wait for its leases.

Change: before a host fences the recorded owner it asks that one whether it still acts (OwningReply.Acts, which hosts of older versions never set; no answer in 150 ms counts as no). If it does, the host appends a record that changes nothing and reads the workers' entries, and leaves the owner in place if either fails. A full store is no such failure. A takeover from an owner that is dead, stopping, cut off from the workers or may not act goes as before.

Not mended: if all workers are out of reach of all hosts the shard still changes hands each 10 s.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -381,6 +381,16 @@
 	return nil
 }
 
+// Acts reports whether the host serves running tasks as the shard's owner, although it may be
+// unable to start others or to record their ends.
+func (d *Dispatcher) Acts() bool {
+	switch d.Unable() {
+	case nil, errNoEntries, errStaleEntries, errUnrecorded:
+		return true
+	}
+	return false
+}
+
 // planLoop makes a plan periodically and whenever one is requested, but leaves a pause
 // after each plan.
 func (d *Dispatcher) planLoop() {
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -153,13 +155,17 @@
 }
 
 // takeOver fences earlier owners, reads the log to its end and starts the dispatcher. It
-// also reads the log before, so that a host that cannot read leaves the owner in place.
+// also reads the log before, so that a host that cannot read leaves the owner in place, and
+// so does one that is no better off than an owner that still acts.
 func (n *Node) takeOver(epoch platform.Epoch) error {
 	ctx, cancel := context.WithTimeout(n.ctx, takeOverTimeout)
 	defer cancel()
 	if err := n.Refresh(ctx); err != nil {
 		return err
 	}
+	if err := n.checkBetterOff(ctx); err != nil {
+		return err
+	}
 	writer := &store.Writer{Name: dispatch.WriterName, Epoch: epoch}
 	if err := n.fenceEarlierOwners(ctx, writer); err != nil {
 		return err
@@ -194,6 +200,35 @@
 	return nil
 }
 
+// checkBetterOff returns an error if the recorded owner still acts, and offers the shard since
+// the store fails it, but fails this host as well. A full store is no such failure.
+func (n *Node) checkBetterOff(ctx context.Context) error {
+	owner := n.table.Owner()
+	if owner.Claim == 0 || owner.Released || !n.ownerActs(owner) {
+		return nil
+	}
+	_, err := n.Store.Append(ctx, n.partition, []store.Record{job.NoOpRecord()}, nil)
+	if err != nil && !errors.Is(err, store.ErrFull) {
+		return fmt.Errorf("owner %s still acts, and this host cannot append: %w", owner.Host, err)
+	}
+	if _, err := n.Registry().Next(ctx); err != nil {
+		return fmt.Errorf("owner %s still acts, and this host cannot read the workers' entries: %w", owner.Host, err)
+	}
+	return nil
+}
+
+// ownerActs asks the recorded owner whether it still acts. One that does not answer soon
+// counts as dead, since nothing runs on while it is asked.
+func (n *Node) ownerActs(owner job.Ownership) bool {
+	addr, err := netip.ParseAddrPort(owner.Addr)
+	if err != nil || addr == n.Peer {
+		return false
+	}
+	var reply OwningReply
+	err = n.probes.CallTimeout(actsProbeTimeout, addr, peerService, "Owning", Empty{}, &reply)
+	return err == nil && reply.Acts
+}
+
 // handStateTo starts the dispatcher d with the bounds and declarations in force and the
 // jobs and workers in the table, and makes it the one that hears of changes. No change is
 // passed on meanwhile, so none is missed. The jobs come before the workers, since tasks of
@@ -251,6 +286,8 @@
 
 const (
 	takeOverTimeout = 2 * time.Second
+	// actsProbeTimeout is about thirty times the usual duration of a call to another host.
+	actsProbeTimeout = 150 * time.Millisecond
 	// retentionSkew allows for wall clocks of hosts that are seconds apart.
 	retentionSkew = 30 * time.Second
 )
--- a/internal/process/node/standby.go
+++ b/internal/process/node/standby.go
@@ -391,10 +391,13 @@
 
 // OwningReply is the reply of Service.Owning. Owns is set if the host owns the shard and has
 // begun neither to stop nor to leave the shard to others. StoreAge is the time since the
-// latest answered join of the host was sent.
+// latest answered join of the host was sent. Acts is set if the host has not begun to stop and
+// serves running tasks as the owner, whatever else it is unable to do; hosts of older versions
+// never set it.
 type OwningReply struct {
 	Owns     bool
 	StoreAge time.Duration
+	Acts     bool
 }
 
 // Owning tells a standby host whether this host is a live owner.
@@ -402,6 +405,7 @@
 	d := s.node.ownedDispatcher()
 	reply.Owns = d != nil && d.Err() == nil && !s.node.leaving.Load() && !s.node.offering.Load()
 	reply.StoreAge = s.node.storeAge()
+	reply.Acts = d != nil && d.Err() == nil && !s.node.leaving.Load() && d.Acts()
 	return nil
 }
 
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -279,6 +279,13 @@
 	return store.Record{Key: waveKey + strconv.FormatInt(number, 10), Value: value}
 }
 
+// noJob has the length of a job's ID, but is none.
+const noJob = "----------------"
+
+// NoOpRecord returns a record that changes no table, whatever the version that applies it: it
+// deletes a cancellation that does not exist.
+func NoOpRecord() store.Record { return store.Record{Key: cancellationKey + noJob} }
+
 // DeletionRecords returns the records that delete all keys of a job. The submission is
 // deleted last, because a job without one is unknown.
 func DeletionRecords(id ID) []store.Record {
