Bound the question whether an owner still acts, dialing included

What callers would see: after the loss of an owner's machine nothing starts for a second longer, and for ever while the store is slow.

Cause: the time limit of a call between hosts does not cover dialing, which takes a second if the other machine is off. That second was taken from the two that a takeover has.

TestSlowStoreAllowsTakeoverFromCutOffOwner (calls of the store take 0, 300 and 400 ms longer) fails before and passes.

--- a/internal/process/node/nobetter_test.go
+++ b/internal/process/node/nobetter_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/store"
+	"github.com/siskinvane/siskinvane/internal/standin/memstore"
 )
 
 // TestUnreadableEntriesKeepShardInPlace: no host could read the workers' entries. Each offered
@@ -70,6 +71,52 @@
 	}
 }
 
+// delayedStore is a store whose reads and appends take longer. It implements store.Store.
+type delayedStore struct {
+	store.Store
+	delay *atomic.Int64
+}
+
+// Append implements store.Store.
+func (s delayedStore) Append(ctx context.Context, p store.Partition, records []store.Record, w *store.Writer) (platform.Offset, error) {
+	time.Sleep(time.Duration(s.delay.Load()))
+	return s.Store.Append(ctx, p, records, w)
+}
+
+// Read implements store.Store.
+func (s delayedStore) Read(ctx context.Context, p store.Partition, from platform.Offset, wait time.Duration) (store.Page, error) {
+	time.Sleep(time.Duration(s.delay.Load()))
+	return s.Store.Read(ctx, p, from, wait)
+}
+
+// TestSlowStoreAllowsTakeoverFromCutOffOwner: the connection to an owner whose machine was off
+// took a second to fail, which left no time for a takeover while the store was slow.
+func TestSlowStoreAllowsTakeoverFromCutOffOwner(t *testing.T) {
+	for _, delay := range []time.Duration{0, 300 * time.Millisecond, 400 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleetOf{testCluster: newTestCluster(), t: t, nodes: map[string]*Node{}}
+			var current atomic.Int64
+			views := map[string]*memstore.View{}
+			for _, name := range []string{"u", "v", "w"} {
+				f.wrap = func(s store.Store) store.Store {
+					views[name] = s.(*memstore.View)
+					return delayedStore{s, &current}
+				}
+				f.start(name)
+				time.Sleep(3 * time.Second)
+			}
+			current.Store(int64(delay))
+			time.Sleep(3 * time.Second)
+			views["u"].Set(memstore.Unresponsive, 0)
+			f.network.SetPartitioned(f.nodes["u"].Peer.Addr(), true)
+			f.awaitOwner(2*time.Second+8*delay, func(string) bool {
+				return f.nodes["v"].OwnsShard() || f.nodes["w"].OwnsShard()
+			})
+			f.stopAll()
+		})
+	}
+}
+
 // fullStore is a store that accepts no records. It implements store.Store.
 type fullStore struct {
 	store.Store
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -158,7 +158,7 @@
 // also reads the log before, so that a host that cannot read leaves the owner in place, and
 // so does one that is no better off than an owner that still acts.
 func (n *Node) takeOver(epoch platform.Epoch) error {
-	ctx, cancel := context.WithTimeout(n.ctx, takeOverTimeout)
+	ctx, cancel := context.WithTimeout(n.ctx, takeOverTimeout+actsProbeTimeout)
 	defer cancel()
 	if err := n.Refresh(ctx); err != nil {
 		return err
@@ -217,16 +217,28 @@
 	return nil
 }
 
-// ownerActs asks the recorded owner whether it still acts. One that does not answer soon
-// counts as dead, since nothing runs on while it is asked.
+// ownerActs asks the recorded owner whether it still acts. One that does not answer within
+// actsProbeTimeout counts as dead, since the shard has no owner while it is asked. The time
+// covers dialing, which takes longer if the owner's machine is off.
 func (n *Node) ownerActs(owner job.Ownership) bool {
 	addr, err := netip.ParseAddrPort(owner.Addr)
 	if err != nil || addr == n.Peer {
 		return false
 	}
-	var reply OwningReply
-	err = n.probes.CallTimeout(actsProbeTimeout, addr, peerService, "Owning", Empty{}, &reply)
-	return err == nil && reply.Acts
+	acts := make(chan bool, 1)
+	go func() {
+		var reply OwningReply
+		err := n.probes.CallTimeout(actsProbeTimeout, addr, peerService, "Owning", Empty{}, &reply)
+		acts <- err == nil && reply.Acts
+	}()
+	timeout := time.NewTimer(actsProbeTimeout)
+	defer timeout.Stop()
+	select {
+	case answer := <-acts:
+		return answer
+	case <-timeout.C:
+		return false
+	}
 }
 
 // handStateTo starts the dispatcher d with the bounds and declarations in force and the
