Let only later entries end the need for recent ones

Found by a review. An owner that learns that only it gets no answers from the store starts nothing on old entries until it has read them again.

The time of the request now counts. TestAnswerOnItsWayBringsNoRecentEntries fails before.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -310,7 +310,7 @@
 // RequireRecentEntries makes the shard start nothing on old entries of workers until they
 // have been read again: another host may have seen them change.
 func (d *Dispatcher) RequireRecentEntries() {
-	d.updateShard(func(s *scheduler.Shard, _ scheduler.Instant) { s.RequireRecentEntries() })
+	d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) { s.RequireRecentEntries(now) })
 }
 
 // SetCordoned sets the workers that get no new tasks and from which tasks are moved
--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -186,7 +186,7 @@
 	h := newHarness(t, 2)
 	h.run(time.Second)
 	h.syncWorkers()
-	h.shard.RequireRecentEntries()
+	h.shard.RequireRecentEntries(h.now)
 	h.submit(firstID, fixedLength(0.5), nil, batchStep(500))
 	h.run(4 * time.Second)
 	starts := h.cluster.Starts()
@@ -202,6 +202,21 @@
 	h.checkViolations()
 }
 
+// TestAnswerOnItsWayBringsNoRecentEntries: entries that had been requested before an owner
+// learned that others reach the store allowed starts on them for as long as it got no others.
+func TestAnswerOnItsWayBringsNoRecentEntries(t *testing.T) {
+	h := newHarness(t, 2)
+	h.run(time.Second)
+	h.syncWorkers()
+	requested := h.now
+	h.run(time.Second)
+	h.shard.RequireRecentEntries(h.now)
+	h.run(100 * time.Millisecond)
+	h.shard.EntriesRead(requested)
+	h.run(8 * time.Second)
+	must.False(t, h.shard.CapacitiesKnown(h.now))
+}
+
 // TestQueuedStartWithStaleEntries: a start order that waited to be sent was sent after the
 // entries had become too old.
 func TestQueuedStartWithStaleEntries(t *testing.T) {
--- a/internal/scheduler/entries.go
+++ b/internal/scheduler/entries.go
@@ -13,20 +13,27 @@
 	readThrough Instant
 	// capacityChanged is set once the capacity of a worker has changed during its run.
 	capacityChanged bool
-	// recentRequired is set from RequireRecentEntries until entries are read again.
+	// recentRequired is set from RequireRecentEntries, at requiredAt, until entries are read
+	// that were requested later.
 	recentRequired bool
+	requiredAt     Instant
 }
 
 // EntriesRead records that SetWorker and RemoveWorker were called for every change of the
 // entries up to the time through.
 func (s *Shard) EntriesRead(through Instant) {
 	s.entries.readThrough = max(s.entries.readThrough, through)
-	s.entries.recentRequired = false
+	if through > s.entries.requiredAt {
+		s.entries.recentRequired = false
+	}
 }
 
 // RequireRecentEntries makes the shard start nothing on entries older than maxEntryAge, until
-// the next EntriesRead, even if no capacity has been seen to change.
-func (s *Shard) RequireRecentEntries() { s.entries.recentRequired = true }
+// entries that were requested after now have been read, even if no capacity has been seen to
+// change.
+func (s *Shard) RequireRecentEntries(now Instant) {
+	s.entries.recentRequired, s.entries.requiredAt = true, now
+}
 
 // noteCapacityChange records that the capacity of a worker has changed during its run, for
 // this owner and the next ones.
