Count the wait for records towards the pause before a renewal

Found by a review, by reading: the wait until a worker's ends are recorded (up to 0.8 s) and the pause before the next renewal (0.4 s) are together longer than the second for which the worker's lists allow it to extend leases. While the store is slow each renewal would have needed an order for lists before it.

No test: the sum only shows as more renewals. The tests of the package pass.

--- a/internal/process/dispatch/renew.go
+++ b/internal/process/dispatch/renew.go
@@ -57,13 +57,14 @@
 				// The order may have granted no lease; the next one will.
 				continue
 			}
+			answeredAt := d.Clock()
 			if d.awaitEndsRecorded(id, retryDelay(unrecorded)) {
 				unrecorded = 0
 			} else {
 				unrecorded++
 			}
 			if r.order.LeaseEnd != 0 {
-				d.pauseBeforeRenewal(id)
+				d.pauseBeforeRenewal(id, answeredAt)
 			}
 			continue
 		}
@@ -132,11 +133,12 @@
 	}
 }
 
-// pauseBeforeRenewal delays the next renewal for a worker while no job waits for its
-// attempts to end or the link is full.
-func (d *Dispatcher) pauseBeforeRenewal(id platform.WorkerID) {
+// pauseBeforeRenewal delays the next renewal for a worker that answered the last one at
+// answeredAt, while no job waits for its attempts to end or the link is full. The time since
+// then counts, so that the worker's lists do not grow too old to extend its leases.
+func (d *Dispatcher) pauseBeforeRenewal(id platform.WorkerID, answeredAt scheduler.Instant) {
 	d.mu.Lock()
-	wait := max(d.shard.RenewPause(id), d.starts.renewPause())
+	wait := max(d.shard.RenewPause(id), d.starts.renewPause()) - (d.Clock() - answeredAt)
 	d.mu.Unlock()
 	if wait > 0 {
 		// The loop ends with the context.
