Begin a wait anew only after a start that was lost with its worker

Found by a review: the check of waiting tasks began a wait anew at each start. A scheduler that starts a task each 3 s and stops it within 0.25 s would have passed.

--- a/internal/experiment/day/waiting.go
+++ b/internal/experiment/day/waiting.go
@@ -59,15 +59,15 @@
 type idleTasks map[job.TaskRef]time.Duration
 
 // next returns the tasks that wait at now. The wait of a task that was started since the last
-// check begins anew: one that crashes its worker at once is not seen running.
-func (t idleTasks) next(now time.Duration, idle []job.TaskRef, lastStart func(job.TaskRef) time.Duration) idleTasks {
+// check, and whose worker crashed, begins anew: it may not have been seen running.
+func (t idleTasks) next(now time.Duration, idle []job.TaskRef, lastLostStart func(job.TaskRef) time.Duration) idleTasks {
 	next := idleTasks{}
 	for _, ref := range idle {
 		since, known := t[ref]
 		if !known {
 			since = now
 		}
-		next[ref] = max(since, lastStart(ref))
+		next[ref] = max(since, lastLostStart(ref))
 	}
 	return next
 }
@@ -90,7 +90,7 @@
 		if sim.disturbance.calmFor(now) > recoveryTime-2*maxIdle {
 			idle = sim.cluster.Idle()
 		}
-		idleSince = idleSince.next(now, idle, sim.cluster.LastStart)
+		idleSince = idleSince.next(now, idle, sim.cluster.LastLostStart)
 		for _, ref := range idle {
 			since := idleSince[ref]
 			if now-since > maxIdle && sim.disturbance.calmFor(now) > recoveryTime {
--- a/internal/experiment/day/waiting_test.go
+++ b/internal/experiment/day/waiting_test.go
@@ -14,14 +14,14 @@
 func TestWaitBeginsAnewAfterStart(t *testing.T) {
 	task, other := job.TaskRef{Job: "1"}, job.TaskRef{Job: "2"}
 	started := map[job.TaskRef]time.Duration{}
-	lastStart := func(ref job.TaskRef) time.Duration { return started[ref] }
-	idle := idleTasks{}.next(10*time.Second, []job.TaskRef{task, other}, lastStart)
+	lastLostStart := func(ref job.TaskRef) time.Duration { return started[ref] }
+	idle := idleTasks{}.next(10*time.Second, []job.TaskRef{task, other}, lastLostStart)
 	must.Eq(t, idleTasks{task: 10 * time.Second, other: 10 * time.Second}, idle)
 	started[task] = 10100 * time.Millisecond
-	idle = idle.next(10250*time.Millisecond, []job.TaskRef{task, other}, lastStart)
+	idle = idle.next(10250*time.Millisecond, []job.TaskRef{task, other}, lastLostStart)
 	must.Eq(t, idleTasks{task: started[task], other: 10 * time.Second}, idle)
-	idle = idle.next(10500*time.Millisecond, []job.TaskRef{other}, lastStart)
+	idle = idle.next(10500*time.Millisecond, []job.TaskRef{other}, lastLostStart)
 	must.Eq(t, idleTasks{other: 10 * time.Second}, idle)
-	idle = idle.next(10750*time.Millisecond, []job.TaskRef{task, other}, lastStart)
+	idle = idle.next(10750*time.Millisecond, []job.TaskRef{task, other}, lastLostStart)
 	must.Eq(t, idleTasks{task: 10750 * time.Millisecond, other: 10 * time.Second}, idle)
 }
--- a/internal/standin/cluster/crashes.go
+++ b/internal/standin/cluster/crashes.go
@@ -51,6 +51,8 @@
 	count, caused int
 	// workers are the workers that crashed.
 	workers map[platform.WorkerID]bool
+	// startedAt is the last start of an attempt that a crash ended.
+	startedAt time.Duration
 	// startsAfterBudget counts the starts after crashBudget crashes.
 	startsAfterBudget int
 }
@@ -63,7 +65,7 @@
 // crash takes a worker down and counts a crash under each task that runs there. cause is
 // the task that caused it, or nil.
 func (c *Cluster) crash(w *worker, cause *job.TaskRef) {
-	for ref := range w.running {
+	for ref, a := range w.running {
 		t := c.jobs[ref.Job]
 		k := t.crashes[ref]
 		if k == nil {
@@ -71,6 +73,7 @@
 			t.crashes[ref] = k
 		}
 		k.count++
+		k.startedAt = max(k.startedAt, a.startedAt)
 		k.workers[w.info.ID] = true
 		c.runsLost++
 	}
--- a/internal/standin/cluster/idle.go
+++ b/internal/standin/cluster/idle.go
@@ -94,11 +94,15 @@
 	return idle
 }
 
-// LastStart returns when an attempt of a task was last started, or zero.
-func (c *Cluster) LastStart(ref job.TaskRef) time.Duration {
+// LastLostStart returns when the last of a task's attempts that crashed with their workers
+// was started, or zero.
+func (c *Cluster) LastLostStart(ref job.TaskRef) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.jobs[ref.Job].lastStart[ref]
+	if k := c.jobs[ref.Job].crashes[ref]; k != nil {
+		return k.startedAt
+	}
+	return 0
 }
 
 // failed reports whether a task has failed so often that the job is over.
