Start suspects on workers that have answered since their last start settled

Cause: a task that may have crashed a worker waited only for 0.4 s after the last start on another one.

Change: the worker must have answered 0.4 s or more after its last start. A suspect that finds no such worker still starts after 1 s, as before.

TestSuspectAvoidsUnheardWorkers failed before.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -512,12 +512,13 @@
 }
 
 // mayStartBeside reports whether a task may start on a worker where others may have just
-// started: a suspect must be the only one that has, unless that has held it for long.
+// started: a suspect must be the only one that has, unless that has held it for long. The
+// worker must have answered since the others count as settled, or it may be down by now.
 func (p *placement) mayStartBeside(t *task, w *workerState) bool {
 	if !t.isSuspect() {
 		return p.now >= w.soloUntil
 	}
-	if p.now >= w.placedAt+settleTime {
+	if w.heardAt >= w.placedAt+settleTime {
 		return true
 	}
 	if t.heldSince == 0 {
--- a/internal/scheduler/crash_guard_test.go
+++ b/internal/scheduler/crash_guard_test.go
@@ -312,3 +312,31 @@
 	must.Eq(t, job.Done, h.state(id))
 	h.checkViolations()
 }
+
+// TestSuspectAvoidsUnheardWorkers: a task that may have crashed a worker was sent to one that
+// another task had crashed meanwhile. The order got no answer, and the crash counted for both.
+func TestSuspectAvoidsUnheardWorkers(t *testing.T) {
+	h := newHarness(t, 2)
+	h.run(500 * time.Millisecond)
+	suspect := h.submit(firstID, fixedLength(10), nil, batchStep(1))
+	h.plan()
+	crashed := h.workersOf(job.TaskRef{Job: suspect})
+	must.Len(t, 1, crashed)
+	h.cluster.Crash(crashed[0])
+	h.run(200 * time.Millisecond)
+	h.cluster.Boot(h.now, crashed[0])
+	other := h.submit(secondID, fixedLength(10), nil, batchStep(1))
+	h.tick()
+	must.Zero(t, h.cluster.Running(suspect))
+	placedOn := h.workersOf(job.TaskRef{Job: other})
+	must.Len(t, 1, placedOn)
+	must.NotEq(t, crashed[0], placedOn[0])
+	// The new run's entry is not read yet.
+	h.now += 500 * time.Millisecond
+	h.plan()
+	must.Zero(t, h.cluster.Running(suspect))
+	h.renewLeases(placedOn[0])
+	h.plan()
+	must.Eq(t, 1, h.cluster.Running(suspect))
+	h.checkViolations()
+}
