Allow a task that its worker's crash has ended 6 s until its next run

The rule of the platform is: a job has nothing running for 3 s while a task's turn has come and there is room, after the traffic has ended; "the last holds for each task that lasts, from 6 s after its last run".

Now a task that a crash of its worker has ended is reported once it waits for 3 s and 6 s have passed since that run.

--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -195,10 +195,12 @@
 	number        platform.Attempt
 	startedAt     time.Duration
 	remainingWork time.Duration
-	stopAt        time.Duration
-	checkpoint    string
-	cpuPercent    int
-	samples       []sample
+	// ranAt is when the attempt was last seen running.
+	ranAt      time.Duration
+	stopAt     time.Duration
+	checkpoint string
+	cpuPercent int
+	samples    []sample
 	// crashAt is when the attempt crashes its worker, or zero.
 	crashAt time.Duration
 	// gangStarted is set once all members of the attempt's gang were running.
--- a/internal/standin/cluster/crashes.go
+++ b/internal/standin/cluster/crashes.go
@@ -51,8 +51,8 @@
 	count, caused int
 	// workers are the workers that crashed.
 	workers map[platform.WorkerID]bool
-	// startedAt is the last start of an attempt that a crash ended.
-	startedAt time.Duration
+	// lastRan is when an attempt that a crash ended was last seen running.
+	lastRan time.Duration
 	// startsAfterBudget counts the starts after crashBudget crashes.
 	startsAfterBudget int
 }
@@ -73,7 +73,7 @@
 			t.crashes[ref] = k
 		}
 		k.count++
-		k.startedAt = max(k.startedAt, a.startedAt)
+		k.lastRan = max(k.lastRan, a.ranAt, a.startedAt)
 		k.workers[w.info.ID] = true
 		c.runsLost++
 	}
--- a/internal/standin/cluster/idle.go
+++ b/internal/standin/cluster/idle.go
@@ -94,13 +94,13 @@
 	return idle
 }
 
-// LastLostStart returns when the last of a task's attempts that crashed with their workers
-// was started, or zero.
-func (c *Cluster) LastLostStart(ref job.TaskRef) time.Duration {
+// LastRunLost returns when the last of a task's attempts that a crash of the worker ended was
+// seen running, or zero.
+func (c *Cluster) LastRunLost(ref job.TaskRef) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if k := c.jobs[ref.Job].crashes[ref]; k != nil {
-		return k.startedAt
+		return k.lastRan
 	}
 	return 0
 }
--- a/internal/standin/cluster/run.go
+++ b/internal/standin/cluster/run.go
@@ -24,6 +24,7 @@
 func (c *Cluster) advance(now time.Duration, w *worker) {
 	for _, ref := range w.runningTasks() {
 		a := w.running[ref]
+		a.ranAt = now
 		t := c.jobs[ref.Job]
 		if c.step(ref).Gang && !c.gangRunning(now, w, ref, a) {
 			continue
