--- a/internal/experiment/day/callers.go
+++ b/internal/experiment/day/callers.go
@@ -79,6 +79,7 @@
 		}
 		spec.Steps = append(spec.Steps, step)
 	}
+	makeGangs(spec.Steps, p.GangShare, rand.New(rand.NewPCG(p.Seed, gangStream+uint64(number))))
 	c.submission = &job.Submission{
 		Queue: queueName, Service: service, MaxFailures: 3, Stretch: 2, TargetMS: 1000, Spec: spec,
 		AcceptedMS: time.Now().UnixMilli(),
@@ -96,6 +97,15 @@
 	return c
 }
 
+// makeGangs makes a share of the batch steps gangs.
+func makeGangs(steps []job.Step, share float64, random *rand.Rand) {
+	for i := range steps {
+		if !steps[i].LongRunning && random.Float64() < share {
+			steps[i].Gang = true
+		}
+	}
+}
+
 const (
 	// maxCrashDelay bounds the time from a crashing task's start until its worker crashes.
 	maxCrashDelay = 300 * time.Millisecond
--- a/internal/experiment/day/capacity_test.go
+++ b/internal/experiment/day/capacity_test.go
@@ -1,6 +1,10 @@
 package day
 
-import "testing"
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
 
 // TestCapacityChangeSeenJustBeforeOwnerIsKilled: the next owner did not know that capacities
 // change, and started tasks on those that it had read before an outage of the store.
@@ -52,3 +56,31 @@
 		t.Run(string(kind), func(t *testing.T) { playFirstChange(t, kind, Owner) })
 	}
 }
+
+// movingKinds are the faults that make tasks move between workers.
+var movingKinds = []Kind{DrainWorker, UpkeepWave, CrashWorkers, CrashWorker, MuteWorker, CutWorker, StopHost, KillHost}
+
+// TestRandomReductionsWhileTasksMove guards against starts on capacities that workers no longer
+// have, and against gangs and tasks that are left waiting, while workers drain, crash and shrink
+// and owners change.
+func TestRandomReductionsWhileTasksMove(t *testing.T) {
+	t.Parallel()
+	for i := range (*days + 5) / 6 {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			random := rand.New(rand.NewPCG(seed, 0))
+			var faults []Fault
+			for range 5 {
+				faults = append(faults, Fault{
+					AtMS: random.Int64N(18_000), ForMS: 500 + random.Int64N(5500), Kind: movingKinds[random.IntN(len(movingKinds))],
+					Host: Owner, Worker: random.IntN(12),
+				})
+			}
+			runDay(t, Plan{
+				Hosts: 4, Workers: 12, Seconds: 20, QuietSeconds: 150, JobsPerSecond: 14, LongRunningShare: 0.2, GangShare: 0.3,
+				Faults: faults, RandomReductions: 6, Seed: seed,
+			})
+		})
+	}
+}
--- a/internal/experiment/day/command.go
+++ b/internal/experiment/day/command.go
@@ -121,6 +121,7 @@
 		{"payload_bytes", float64(p.PayloadBytes), 0, maxPayloadBytes},
 		{"long_running_share", p.LongRunningShare, 0, 1},
 		{"crashing_share", p.CrashingShare, 0, 1},
+		{"gang_share", p.GangShare, 0, 1},
 		{"link_kb_per_second", p.LinkKBPerSecond, 0, maxLinkKBPerSecond},
 	}
 	for _, f := range ranges {
--- a/internal/experiment/day/day.go
+++ b/internal/experiment/day/day.go
@@ -33,6 +33,8 @@
 	PayloadBytes int `json:"payload_bytes,omitempty"`
 	// LongRunningShare is the fraction of jobs that run until their callers cancel them.
 	LongRunningShare float64 `json:"long_running_share,omitempty"`
+	// GangShare is the fraction of steps that become gangs in addition to those drawn as such.
+	GangShare float64 `json:"gang_share,omitempty"`
 	// CrashingShare is the fraction of jobs with tasks that crash the workers that start
 	// them.
 	CrashingShare float64 `json:"crashing_share,omitempty"`
@@ -80,11 +82,12 @@
 const startupTime = 2 * time.Second
 
 // declarationsStream selects the random numbers that versions of the declarations are drawn
-// from, and crashingStream is added to a caller's number for those that its job's crashes are
-// drawn from. The streams of callers are numbered from 1.
+// from, and crashingStream and gangStream are added to a caller's number for those that its
+// job's crashes and additional gangs are drawn from. The streams of callers are numbered from 1.
 const (
 	declarationsStream = 1 << 32
 	crashingStream     = 1 << 33
+	gangStream         = 1 << 34
 )
 
 // reductionsStream selects the random numbers that reductions of capacities are drawn from.
