--- a/review/rig/crash.go
+++ b/review/rig/crash.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// crashes lets workers go dark by turns, one of seven after the other and each for downTime,
+// crashes lets workers go dark by turns, one of fourteen after the other and each for downTime,
 // and hands in a job of one short task. The next worker goes dark overlap before the last one
 // is back, so that two are down for that time.
 func crashes(s *System, trouble bool) (verdict, error) {
