--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -30,7 +30,7 @@
 }{
 	"ends":   {deployment{hosts: 3, workers: 3, milliCPU: 32000, memMB: 128000, attempts: 3}, manyEnds},
 	"crash":  {deployment{hosts: 3, workers: 14, milliCPU: 32000, memMB: 128000, attempts: 5}, crashes},
-	"cancel": {deployment{hosts: 8, workers: 4, milliCPU: 32000, memMB: 128000, attempts: 3}, cancelOvertaken},
+	"cancel": {deployment{hosts: 10, workers: 4, milliCPU: 32000, memMB: 128000, attempts: 3}, cancelOvertaken},
 	"upkeep": {deployment{hosts: 3, workers: 8, milliCPU: 32000, memMB: 128000, attempts: 3}, upkeepOfServing},
 }
 
--- a/review/rig/system.go
+++ b/review/rig/system.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -64,14 +65,24 @@
 	return ln.Addr().String(), server, nil
 }
 
+// Ports of the hosts lie below those that systems use for outgoing connections, which could
+// otherwise take one before its host listens.
+const (
+	firstPort = 20000
+	ports     = 12000
+)
+
 // freeAddr returns a loopback address with a port that is free now.
 func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range 100 {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		var ln net.Listener
+		if ln, err = net.Listen("tcp", addr); err == nil {
+			return addr, ln.Close()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", err
 }
 
 // startSystem starts the stand-ins and the processes, and waits until all hosts are ready
