Share reads of the log among lookups of unknown jobs

Callers saw: with a thousand requests for unknown jobs at a host, each waited for the reads of all before it.

Cause: Refresh reads the log once for each call, one after the other, also if a read that began after the call has reached the end of the log meanwhile.

Change: a call that has waited returns if a read sent after it has reached the end.

--- a/internal/process/node/load_test.go
+++ b/internal/process/node/load_test.go
@@ -153,3 +153,44 @@
 		c.stop(n)
 	})
 }
+
+// countedReads is a store that counts reads of the log.
+type countedReads struct {
+	store.Store
+	reads atomic.Int32
+}
+
+// Read implements store.Store.
+func (s *countedReads) Read(ctx context.Context, p store.Partition, from platform.Offset, wait time.Duration) (store.Page, error) {
+	s.reads.Add(1)
+	return s.Store.Read(ctx, p, from, wait)
+}
+
+// TestLookupsOfUnknownJobsShareReads guards against callers that ask for many unknown jobs and
+// wait for one read of the log each, one after the other.
+func TestLookupsOfUnknownJobsShareReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster()
+		var s *countedReads
+		c.wrap = func(inner store.Store) store.Store {
+			s = &countedReads{Store: inner}
+			return s
+		}
+		n := c.startHost(t, "h1", 1)
+		time.Sleep(2 * time.Second)
+		before, started := s.reads.Load(), time.Now()
+		results := make(chan error, 1000)
+		for range cap(results) {
+			go func() {
+				_, err := n.State(context.Background(), jobID)
+				results <- err
+			}()
+		}
+		for range cap(results) {
+			must.ErrorIs(t, <-results, ErrUnknownJob)
+		}
+		must.Less(t, 5, s.reads.Load()-before)
+		must.Less(t, 100*time.Millisecond, time.Since(started))
+		c.stop(n)
+	})
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -322,14 +322,19 @@
 	}
 }
 
-// Refresh reads the log to its end and applies what it reads.
+// Refresh reads the log to its end and applies what it reads. Calls that wait for the same
+// read share the next one.
 func (n *Node) Refresh(ctx context.Context) error {
+	called := n.Clock()
 	select {
 	case n.readToken <- struct{}{}:
 		defer func() { <-n.readToken }()
 	case <-ctx.Done():
 		return fmt.Errorf("wait for another read of the log: %w", ctx.Err())
 	}
+	if time.Duration(n.caughtUpAt.Load()) > called {
+		return nil
+	}
 	for {
 		sent := n.Clock()
 		if n.unreadSince == 0 {
