Record the cancel of a job whose submission is under way

Cause: a host answered the cancel of a job that it could not find in the log without a record, while another host, which waited for a suspended owner, was about to append the submission. An append without an answer that is carried out late does the same.

Change: such a cancel is recorded before it is answered, so that the order in the log decides: the submission that follows is stored as cancelled. The record has its time and is deleted by the owner after the retention of jobs; 10,000 of them are kept, and repeated cancels add none. Line 7008 and jobs_cancel_taken_early tell of them.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -41,8 +41,9 @@
 	Predecessors []scheduler.Predecessor
 	// OnRecorded is called with records once they are in the log.
 	OnRecorded func([]store.Record)
-	// ExpiredJobs returns up to limit ended jobs whose retention time is over.
-	ExpiredJobs func(limit int) []job.ID
+	// ExpiredRecords returns the records that delete up to limit ended jobs, and up to limit
+	// cancellations of jobs that were never submitted, whose retention time is over.
+	ExpiredRecords func(limit int) []store.Record
 	// ConfirmationAge returns the time since the host last confirmed, by reading the log
 	// to its end, that no other host owns the shard.
 	ConfirmationAge func() time.Duration
--- a/internal/process/dispatch/flow_test.go
+++ b/internal/process/dispatch/flow_test.go
@@ -213,7 +213,7 @@
 			Clock:           func() time.Duration { return time.Minute + time.Since(started) },
 			ConfirmationAge: func() time.Duration { return 0 },
 			OnRecorded:      func([]store.Record) {},
-			ExpiredJobs:     func(int) []job.ID { return nil },
+			ExpiredRecords:  func(int) []store.Record { return nil },
 		})
 		q := &queue.Queue{Name: "q", Service: "s", MaxFailures: 1, Stretch: 2, Target: time.Second}
 		d.SetConfig(queue.New(1, []*queue.Queue{q}, []*queue.Service{{Name: "s"}}, queue.Limits{}))
--- a/internal/process/dispatch/record.go
+++ b/internal/process/dispatch/record.go
@@ -26,8 +26,8 @@
 	// learnedRecordPeriod is the time between two records of the learned state. It bounds
 	// how much of it is lost when an owner crashes.
 	learnedRecordPeriod = 4 * time.Second
-	// expiryPeriod is the time between two deletions of expired jobs, and expiryLimit the
-	// maximum number of jobs per deletion: 100 a second, twice as many as the largest
+	// expiryPeriod is the time between two deletions of expired jobs and cancellations, and
+	// expiryLimit the maximum number of each per deletion: 100 a second, twice as many as the largest
 	// deployment accepts.
 	expiryPeriod = 2 * time.Second
 	expiryLimit  = 200
@@ -204,24 +204,21 @@
 		b.records = append(b.records, r)
 	}
 	d.addWorkerRecords(&b)
-	d.addExpiredJobs(&b)
+	d.addExpiredRecords(&b)
 	if len(b.records) > 0 || b.progress.Models {
 		d.addLearnedState(&b)
 	}
 	return b
 }
 
-// addExpiredJobs adds records that delete expired jobs, at most expiryLimit per
-// expiryPeriod.
-func (d *Dispatcher) addExpiredJobs(b *batch) {
+// addExpiredRecords adds records that delete what has expired, once per expiryPeriod.
+func (d *Dispatcher) addExpiredRecords(b *batch) {
 	now := d.Clock()
 	if now-d.lastExpiryAt < expiryPeriod {
 		return
 	}
 	d.lastExpiryAt = now
-	for _, id := range d.ExpiredJobs(expiryLimit) {
-		b.records = append(b.records, job.DeletionRecords(id)...)
-	}
+	b.records = append(b.records, d.ExpiredRecords(expiryLimit)...)
 }
 
 // addLearnedState adds the shard's learned state once per learnedRecordPeriod, to the final
--- a/internal/process/dispatch/write_test.go
+++ b/internal/process/dispatch/write_test.go
@@ -79,7 +79,7 @@
 			Clock:           func() time.Duration { return time.Since(started) },
 			ConfirmationAge: func() time.Duration { return 0 },
 			OnRecorded:      func([]store.Record) {},
-			ExpiredJobs:     func(int) []job.ID { return nil },
+			ExpiredRecords:  func(int) []store.Record { return nil },
 		}
 		change(&c)
 		d := New(c)
--- a/internal/process/event/job.go
+++ b/internal/process/event/job.go
@@ -12,6 +12,8 @@
 	StateUnanswered   = declare(7006, logrus.WarnLevel, "job's state not answered")
 	CountUnanswered   = declare(7007, logrus.WarnLevel, "number of waiting jobs not answered")
 
+	UnknownJobCancelled = declare(7008, logrus.InfoLevel, "unknown job cancelled")
+
 	TaskStarted    = declare(7110, logrus.InfoLevel, "task started")
 	AttemptEnded   = declare(7111, logrus.InfoLevel, "attempt ended")
 	JobEnded       = declare(7112, logrus.InfoLevel, "job over")
--- a/internal/process/node/direct_test.go
+++ b/internal/process/node/direct_test.go
@@ -93,7 +93,7 @@
 		// Shorter than the timeout of the first append.
 		ctx, cancel := context.WithTimeout(context.Background(), minAppendTimeout/2)
 		defer cancel()
-		record := job.CancellationRecord(jobID)
+		record := job.CancellationRecord(jobID, 1)
 		first, second := make(chan error, 1), make(chan error, 1)
 		go func() { first <- n.direct.append(ctx, record, false) }()
 		time.Sleep(10 * time.Millisecond)
--- a/internal/process/node/jobs.go
+++ b/internal/process/node/jobs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/siskinvane/siskinvane/internal/platform/store"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 	"github.com/siskinvane/siskinvane/internal/version/queue"
 )
@@ -35,7 +36,8 @@
 	return n.write(ctx, Proposal{ID: id, Submission: s, Record: r})
 }
 
-// Cancel records that a job is cancelled.
+// Cancel records that a job is cancelled. After ErrUnknownJob the log had no such job, and
+// one whose submission is still under way will not run.
 func (n *Node) Cancel(ctx context.Context, id job.ID) error {
 	err := n.cancelJob(ctx, id)
 	n.reportCancel(id, err)
@@ -44,13 +46,67 @@
 
 func (n *Node) cancelJob(ctx context.Context, id job.ID) error {
 	e, err := n.lookup(ctx, id)
-	if err != nil {
+	switch {
+	case errors.Is(err, ErrUnknownJob):
+		return n.cancelUnknownJob(ctx, id)
+	case err != nil:
+		return err
+	case e.Cancelled || e.Progress.State.Final():
+		return nil
+	}
+	return n.writeCancellation(ctx, id)
+}
+
+func (n *Node) writeCancellation(ctx context.Context, id job.ID) error {
+	return n.write(ctx, Proposal{ID: id, Record: job.CancellationRecord(id, time.Now().UnixMilli())})
+}
+
+// maxEarlyCancellations limits the memory and the room in the log that the cancellations of
+// jobs take that were not submitted.
+const maxEarlyCancellations = 10_000
+
+// errTooManyCancellations reports that a cancellation was not recorded.
+var errTooManyCancellations = errors.New("too many cancelled jobs that were not submitted")
+
+// cancelUnknownJob records the cancellation of a job that the log does not have: another host
+// may be about to append its submission, or an append without an answer may still be carried
+// out. The job's state is final once the submission follows. It returns ErrUnknownJob if the
+// submission has not come by then.
+func (n *Node) cancelUnknownJob(ctx context.Context, id job.ID) error {
+	age, cancelled := n.table.EarlyCancellation(id, n.Clock(), time.Now().UnixMilli())
+	switch {
+	case cancelled && age < n.cancellationRetention()/2:
+		return ErrUnknownJob
+	case !cancelled && n.table.EarlyCancellations() >= maxEarlyCancellations:
+		return errTooManyCancellations
+	}
+	if err := n.writeCancellation(ctx, id); err != nil {
 		return err
 	}
-	if e.Cancelled || e.Progress.State.Final() {
+	if _, known := n.table.Get(id); known {
 		return nil
 	}
-	return n.write(ctx, Proposal{ID: id, Record: job.CancellationRecord(id)})
+	return ErrUnknownJob
+}
+
+// cancellationRetention is how long the cancellation of a job is kept that is not submitted:
+// like an ended job, but longer than a submission takes that is under way.
+func (n *Node) cancellationRetention() time.Duration {
+	return max(n.Retention, 2*lateAppend) + retentionSkew
+}
+
+// expiredRecords returns the records that delete up to limit ended jobs, and as many
+// cancellations of jobs that were not submitted, whose retention time is over.
+func (n *Node) expiredRecords(limit int) []store.Record {
+	var records []store.Record
+	now := time.Now()
+	for _, id := range n.table.Expired(now.Add(-n.Retention-retentionSkew).UnixMilli(), limit) {
+		records = append(records, job.DeletionRecords(id)...)
+	}
+	for _, id := range n.table.ExpiredCancellations(n.Clock(), now.UnixMilli(), n.cancellationRetention(), limit) {
+		records = append(records, job.CancellationDeletionRecord(id))
+	}
+	return records
 }
 
 // lookup returns a job's entry. If the table does not have the job it reads the log to
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -178,10 +178,8 @@
 	d := dispatch.New(dispatch.Config{
 		Store: n.Store, Partition: n.partition, Workers: n.Workers, Advisor: n.Advisor, Clock: n.Clock, Logger: n.Logger, Metrics: n.Metrics,
 		Bounds: n.bounds(), Ownership: own, Predecessors: n.predecessors(), AppendBytes: n.AppendBytes,
-		OnRecorded: n.applyRecords,
-		ExpiredJobs: func(limit int) []job.ID {
-			return n.table.Expired(time.Now().Add(-n.Retention-retentionSkew).UnixMilli(), limit)
-		},
+		OnRecorded:      n.applyRecords,
+		ExpiredRecords:  n.expiredRecords,
 		ConfirmationAge: n.SinceCaughtUp,
 	})
 	if learned := n.table.LearnedModels(); learned != nil {
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -38,11 +38,15 @@
 	}
 }
 
-// reportCancel logs and counts a successful cancellation.
+// reportCancel logs and counts a cancellation, also one of a job that the log does not have.
 func (n *Node) reportCancel(id job.ID, err error) {
-	if err == nil {
+	switch {
+	case err == nil:
 		n.count("jobs.cancel_taken")
 		event.JobCancelled.Log(n.Logger, logrus.Fields{"job": id})
+	case errors.Is(err, ErrUnknownJob):
+		n.count("jobs.cancel_taken_early")
+		event.UnknownJobCancelled.Log(n.Logger, logrus.Fields{"job": id, "unsubmitted": n.table.EarlyCancellations()})
 	}
 }
 
--- a/internal/process/node/takeover_test.go
+++ b/internal/process/node/takeover_test.go
@@ -64,7 +64,7 @@
 	n.reader = keyed.NewReader(view, n.partition)
 	f.node = n
 	f.deliver = func(i int) {
-		n.applyRecords([]store.Record{submissionRecord(t, newJob(i)), job.CancellationRecord(oldJob(i))})
+		n.applyRecords([]store.Record{submissionRecord(t, newJob(i)), job.CancellationRecord(oldJob(i), 1)})
 	}
 	for i := range maxArrivals {
 		_, err := view.Append(n.ctx, n.partition, []store.Record{submissionRecord(t, oldJob(i))}, nil)
@@ -252,7 +252,7 @@
 	}
 	enrollment, err := job.EnrollmentRecord(job.Enrollment{Worker: "w0", Addr: "127.1.0.1:80", Service: "s", Claim: 1, Run: 1})
 	must.NoError(t, err)
-	appendRecords(enrollment, submissionRecord(t, newJob(0)), job.CancellationRecord(newJob(0)))
+	appendRecords(enrollment, submissionRecord(t, newJob(0)), job.CancellationRecord(newJob(0), 1))
 	must.NoError(t, n.Refresh(n.ctx))
 	must.Len(t, 1, n.table.Workers())
 	appendRecords(append(job.DeletionRecords(newJob(0)), job.UnenrollmentRecord("w0"))...)
--- a/internal/process/node/write.go
+++ b/internal/process/node/write.go
@@ -150,7 +150,7 @@
 		if _, known := n.table.Get(p.ID); known {
 			return Verdict{Written: true}, nil
 		}
-		if a := d.Admit(p.Submission); !a.Admitted && !n.open.mayBeStored(n.Clock(), p.ID) {
+		if a := d.Admit(p.Submission); !a.Admitted && !n.mustStore(p.ID) {
 			return Verdict{Refused: &a}, nil
 		}
 	}
@@ -163,6 +163,14 @@
 	return v, nil
 }
 
+// mustStore reports whether a job is stored whatever the load: an earlier write may be in the
+// log, or the job is cancelled, so that it takes no room and its callers see that it is.
+func (n *Node) mustStore(id job.ID) bool {
+	now := n.Clock()
+	_, cancelled := n.table.EarlyCancellation(id, now, time.Now().UnixMilli())
+	return cancelled || n.open.mayBeStored(now, id)
+}
+
 // appendDirect appends a record without the owner. While it is unknown whether the
 // record is in the log it retries until ctx is done or the store is known to be away.
 func (n *Node) appendDirect(ctx context.Context, p Proposal, mayBeStored bool) error {
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -191,10 +191,6 @@
 	waveKey          = "wave/"
 )
 
-// cancellationValue is the value of a cancellation record. It is not empty, since
-// an empty value would delete the key.
-var cancellationValue = []byte{1}
-
 // SubmissionRecord returns the submission record of a job.
 func SubmissionRecord(id ID, s *Submission) (store.Record, error) {
 	return encodeRecord(submissionKey+string(id), s)
@@ -250,9 +246,27 @@
 	return encodeRecord(key, &shortened)
 }
 
-// CancellationRecord returns the record that cancels a job.
-func CancellationRecord(id ID) store.Record {
-	return store.Record{Key: cancellationKey + string(id), Value: cancellationValue}
+// CancellationRecord returns the record that cancels a job. atMS is the host's wall-clock
+// time in Unix milliseconds. Earlier versions wrote a value without a time; any value but an
+// empty one, which deletes the key, cancels the job.
+func CancellationRecord(id ID, atMS int64) store.Record {
+	return store.Record{Key: cancellationKey + string(id), Value: strconv.AppendInt(nil, atMS, 10)}
+}
+
+// decodeCancellation returns the time that the value of a cancellation record holds, in Unix
+// milliseconds, or zero if there is none.
+func decodeCancellation(value []byte) (atMS int64) {
+	atMS, err := strconv.ParseInt(string(value), 10, 64)
+	if err != nil || atMS < 0 {
+		return 0
+	}
+	return atMS
+}
+
+// CancellationDeletionRecord returns the record that deletes the cancellation of a job that
+// was never submitted.
+func CancellationDeletionRecord(id ID) store.Record {
+	return store.Record{Key: cancellationKey + string(id)}
 }
 
 // IsCancellation reports whether a record cancels a job.
--- a/internal/scheduler/job/table.go
+++ b/internal/scheduler/job/table.go
@@ -46,15 +46,17 @@
 	learnedModels []byte
 	// waves holds the records of maintenance waves by number.
 	waves map[int64][]byte
-	// appliedAt holds when the records of submissions, workers and waves in the table were
-	// last applied, by key.
+	// early holds the cancellations of jobs that the table does not have.
+	early map[ID]earlyCancellation
+	// appliedAt holds when the records of submissions, cancellations, workers and waves in
+	// the table were last applied, by key.
 	appliedAt map[string]time.Duration
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		jobs: map[ID]*Entry{}, workers: map[platform.WorkerID]Enrollment{}, waves: map[int64][]byte{},
+		jobs: map[ID]*Entry{}, early: map[ID]earlyCancellation{}, workers: map[platform.WorkerID]Enrollment{}, waves: map[int64][]byte{},
 		appliedAt: map[string]time.Duration{},
 	}
 }
@@ -80,7 +82,7 @@
 	return changed, firstErr
 }
 
-// DeleteMissing deletes the jobs, workers and waves that have no record in a page of the
+// DeleteMissing deletes the jobs, cancellations, workers and waves that have no record in a page of the
 // newest record of each key: their deletion is not among the records that the log still
 // has. Those that were applied at the time since, when the read of the page began, or
 // later may be newer than the page and stay.
@@ -102,7 +104,7 @@
 func (t *Table) apply(r store.Record, now time.Duration) (*Entry, error) {
 	kind, id := splitKey(r.Key)
 	switch kind {
-	case submissionKey, enrollmentKey, waveKey:
+	case submissionKey, cancellationKey, enrollmentKey, waveKey:
 		if len(r.Value) > 0 {
 			t.appliedAt[r.Key] = now
 		} else {
@@ -115,15 +117,7 @@
 	case progressKey:
 		return t.applyProgress(id, r.Value)
 	case cancellationKey:
-		if len(r.Value) == 0 {
-			return nil, nil
-		}
-		e := t.ensureEntry(id)
-		if e.Cancelled {
-			return nil, nil
-		}
-		e.Cancelled = true
-		return e, nil
+		return t.applyCancellation(id, r.Value, now), nil
 	case ownershipKey:
 		return nil, t.applyOwnership(r.Value, now)
 	case learnedModelsKey:
@@ -258,7 +252,7 @@
 }
 
 // ensureEntry returns the entry of a job, creating it if needed. While records are read
-// out of order, a job's progress or cancellation may be applied before its submission.
+// out of order, a job's progress may be applied before its submission.
 func (t *Table) ensureEntry(id ID) *Entry {
 	e, ok := t.jobs[id]
 	if !ok {
@@ -282,6 +276,10 @@
 		return nil, err
 	}
 	e.Submission = s
+	if _, cancelled := t.early[id]; cancelled {
+		e.Cancelled = true
+		delete(t.early, id)
+	}
 	return e, nil
 }
 
