Ask the new owner when a proposal to the earlier one gets no answer

Cause: a host that got no answer from the owner appended the job itself, also if another host had taken the shard over meanwhile. Hosts learn of a new owner up to a second late.

Evidence: TestNewOwnerIsNotAsked failed before: one of two hosts appended its job 0.6 s after the takeover.

Change: after a proposal without an answer the host reads the log and asks a new owner. Its refusal holds: the log takes nothing more from the earlier owner, and the new one has read what it wrote.

--- a/internal/process/node/takeover_test.go
+++ b/internal/process/node/takeover_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -287,3 +288,31 @@
 	s.beforeAnswer()
 	return page, err
 }
+
+// TestNewOwnerIsNotAsked: a host whose proposal got no answer stored the job itself, although
+// another host had taken the shard over meanwhile and would have refused it.
+func TestNewOwnerIsNotAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, views := newFleetWithViews(t, "u", "v", "w")
+		f.network.SetPartitioned(f.nodes["u"].Peer.Addr(), true)
+		views["u"].Set(memstore.Unresponsive, 0)
+		time.Sleep(900 * time.Millisecond)
+		before := map[string]int{"v": views["v"].Appends(), "w": views["w"].Appends()}
+		results := make(chan error, 2)
+		for i, name := range []string{"v", "w"} {
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+				defer cancel()
+				results <- f.nodes[name].Submit(ctx, newJob(i), submission())
+			}()
+		}
+		must.NoError(t, <-results)
+		must.NoError(t, <-results)
+		other := map[string]string{"v": "w", "w": "v"}[f.owner()]
+		must.NotEq(t, "", other)
+		must.Eq(t, before[other], views[other].Appends())
+		f.network.SetPartitioned(f.nodes["u"].Peer.Addr(), false)
+		views["u"].Set(memstore.Healthy, 0)
+		f.stopAll()
+	})
+}
--- a/internal/process/node/write.go
+++ b/internal/process/node/write.go
@@ -20,6 +20,8 @@
 	// trip to the owner. It leaves a caller with a timeout of 3 s time for a direct
 	// append.
 	ownerTimeout = 1600 * time.Millisecond
+	// ownerReadTimeout bounds the read for a new owner after a call without an answer.
+	ownerReadTimeout = 400 * time.Millisecond
 	// appendRetryDelay is the delay before the next direct append after one that failed.
 	appendRetryDelay = 100 * time.Millisecond
 )
@@ -66,7 +68,14 @@
 // be.
 func (n *Node) write(ctx context.Context, p Proposal) error {
 	repeated := n.open.mayBeStored(n.Clock(), p.ID)
+	owner := n.table.Owner().Epoch
 	v, err := n.propose(ctx, p)
+	unknown := errors.Is(err, platform.ErrOutcomeUnknown)
+	if err != nil && n.ownerReplaced(ctx, owner) {
+		// The log takes nothing more from the earlier owner, and the new one has read what it
+		// wrote.
+		v, err = n.propose(ctx, p)
+	}
 	switch {
 	case err == nil && v.Written:
 		n.applyRecords([]store.Record{p.Record})
@@ -77,7 +86,7 @@
 	if err != nil {
 		n.reportOwnerUnreachable("record", err, logrus.Fields{"job": p.ID})
 	}
-	unknown := v.Unknown || errors.Is(err, platform.ErrOutcomeUnknown)
+	unknown = unknown || v.Unknown || errors.Is(err, platform.ErrOutcomeUnknown)
 	if unknown {
 		n.open.note(n.Clock(), p.ID)
 	}
@@ -87,6 +96,19 @@
 	return err
 }
 
+// ownerReplaced reports whether the shard has another owner than that of the given epoch. It
+// reads the log, since hosts may learn of a new owner late.
+func (n *Node) ownerReplaced(ctx context.Context, epoch platform.Epoch) bool {
+	if n.storeAway() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerReadTimeout)
+	defer cancel()
+	// Without the read, the owner that is known counts.
+	_ = n.Refresh(ctx)
+	return n.ownedDispatcher() != nil || n.table.Owner().Epoch > epoch
+}
+
 // propose lets the owner write. After an error that matches platform.ErrOutcomeUnknown
 // the record may be in the log.
 func (n *Node) propose(ctx context.Context, p Proposal) (Verdict, error) {
