Refuse under a new owner what the earlier one refused

Cause: a new owner has measured no starts, and accepted all jobs until it had.

Evidence: TestNewOwnerAcceptsWhatItsPredecessorRefused failed before: of 320 jobs that came in 16 s under owners of 2 s, five times as many as the workers do, none was refused.

Change: the learned state names the classes of tasks whose jobs are refused, with their starts per second, and is recorded at once when that begins. The next owner judges jobs of these classes from the start, by that rate and by what waits in fact; others as before.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -32,8 +33,10 @@
 	// startRateWindow is the time constant over which starts are counted.
 	startRateWindow = 2 * time.Second
 	// admissionWarmUp is how long a new owner measures before it refuses a job for want of
-	// workers.
+	// workers, unless an earlier owner refused such jobs.
 	admissionWarmUp = 3 * time.Second
+	// refusalMemory is how long after a refusal a class of tasks counts as refused.
+	refusalMemory = 5 * time.Second
 	// batchPeakDecay is the time constant with which the peak of batch work decays.
 	// batchPeakFactor is the multiple of that peak for which capacity is kept free.
 	batchPeakDecay  = 15 * time.Second
@@ -90,6 +93,14 @@
 	rate.add(now)
 }
 
+// starts returns the starts of a class per second.
+func (s *Shard) starts(now Instant, class capacityClass) float64 {
+	if rate := s.startRates[class]; rate != nil {
+		return rate.perSecond(now)
+	}
+	return 0
+}
+
 // countWaiting counts the waiting tasks of a class that can still meet their objective.
 func (s *Shard) countWaiting(class capacityClass) int {
 	n := 0
@@ -112,10 +123,10 @@
 	if a := s.admitStarts(now); !a.Admitted {
 		return a
 	}
-	if now < s.takenOverAt+admissionWarmUp {
-		return Admission{Admitted: true}
-	}
 	if sub.Spec.LongRunning() {
+		if s.warmingUp(now) {
+			return Admission{Admitted: true}
+		}
 		return s.admitLongRunning(now, sub)
 	}
 	a := Admission{Admitted: true, Slack: s.slack(sub)}
@@ -125,10 +136,45 @@
 	if float64(a.Wait) > waitTolerance*float64(a.Slack) {
 		a.Admitted, a.Reason = false, reasonLateStart
 		a.RetryAfter = min(maxRetryAfter, max(minRetryAfter, a.Wait-a.Slack))
+		s.noteRefusal(now, sub)
 	}
 	return a
 }
 
+// warmingUp reports whether this owner has not measured for long enough to refuse jobs.
+func (s *Shard) warmingUp(now Instant) bool { return now < s.takenOverAt+admissionWarmUp }
+
+// noteRefusal records that jobs with such steps are refused. The next owner has to know, as
+// it would otherwise accept them until it has measured.
+func (s *Shard) noteRefusal(now Instant, sub *job.Submission) {
+	for i := range sub.Spec.Steps {
+		class := capacityClassOf(&sub.Spec.Steps[i])
+		if !s.isRefused(now, class) {
+			s.journal.markModels()
+		}
+		s.refusedUntil[class] = now + refusalMemory
+	}
+}
+
+func (s *Shard) isRefused(now Instant, class capacityClass) bool { return now < s.refusedUntil[class] }
+
+// refusedRates returns the starts per second of the classes of tasks whose jobs are refused.
+// An owner that has not measured yet hands over what it was given.
+func (s *Shard) refusedRates(now Instant) map[capacityClass]float64 {
+	rates := map[capacityClass]float64{}
+	if s.warmingUp(now) {
+		maps.Copy(rates, s.inheritedRates)
+	}
+	for class := range s.refusedUntil {
+		if !s.isRefused(now, class) {
+			delete(s.refusedUntil, class)
+			continue
+		}
+		rates[class] = max(s.starts(now, class), rates[class])
+	}
+	return rates
+}
+
 // slack returns the time that a job's latency objective leaves beside its critical
 // path.
 func (s *Shard) slack(sub *job.Submission) time.Duration {
@@ -146,17 +192,22 @@
 	return time.Duration((sub.Stretch-1)*float64(criticalPath)) + time.Duration(sub.TargetMS)*time.Millisecond
 }
 
-// expectedWait returns how long the tasks of a step would wait for workers.
+// expectedWait returns how long the tasks of a step would wait for workers, or zero while that
+// is not known.
 func (s *Shard) expectedWait(now Instant, step *job.Step) time.Duration {
 	class := capacityClassOf(step)
+	rate := s.starts(now, class)
+	if s.warmingUp(now) {
+		inherited, refused := s.inheritedRates[class]
+		if !refused {
+			return 0
+		}
+		rate = max(rate, inherited)
+	}
 	waiting := s.countWaiting(class)
 	if waiting == 0 {
 		return 0
 	}
-	rate := 0.0
-	if starts := s.startRates[class]; starts != nil {
-		rate = starts.perSecond(now)
-	}
 	// Below one start per window the wait cannot be estimated, but it is long.
 	rate = max(rate, 1/startRateWindow.Seconds())
 	return time.Duration(float64(waiting) / rate * float64(time.Second))
--- /dev/null
+++ b/internal/scheduler/admit_test.go
@@ -0,0 +1,87 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/siskinvane/siskinvane/internal/scheduler"
+	"github.com/siskinvane/siskinvane/internal/scheduler/job"
+)
+
+// succeedOwner replaces the owner by one that knows what was recorded and learned.
+func (h *harness) succeedOwner() {
+	h.t.Helper()
+	learned, err := h.shard.LearnedModels()
+	must.NoError(h.t, err)
+	h.takeOver(true)
+	must.NoError(h.t, h.shard.RestoreModels(learned))
+}
+
+// overload offers jobs to the shard.
+type overload struct {
+	*harness
+	// steps are those of each job, and jobsPerSecond how many come.
+	steps         []job.Step
+	jobsPerSecond int
+	// bypass is the share of jobs, one of so many, that are stored without being admitted.
+	bypass int
+
+	offered  int
+	accepted []job.ID
+	refused  int
+}
+
+func newOverload(h *harness, jobsPerSecond int, steps ...job.Step) *overload {
+	return &overload{harness: h, steps: steps, jobsPerSecond: jobsPerSecond}
+}
+
+func (o *overload) admit() scheduler.Admission {
+	return o.shard.Admit(o.now, &job.Submission{
+		Queue: queueName, Service: service, Stretch: 2, TargetMS: 1000, Spec: job.Spec{Steps: o.steps},
+	})
+}
+
+// offer offers jobs for the given time.
+func (o *overload) offer(d time.Duration) {
+	for end := o.now + d; o.now < end; {
+		o.tick()
+		for due := int((o.now - time.Minute).Seconds() * float64(o.jobsPerSecond)); o.offered < due; o.offered++ {
+			if bypass := o.bypass > 0 && o.offered%o.bypass == 0; !bypass && !o.admit().Admitted {
+				o.refused++
+				continue
+			}
+			o.accepted = append(o.accepted, o.submit(fmt.Sprintf("%016x", 0x1000+o.offered), nil, nil, o.steps...))
+		}
+	}
+}
+
+// fourCores returns a step with tasks of four cores that take a second.
+func fourCores(step job.Step) job.Step {
+	step.Size.MilliCPU = 4000
+	return step
+}
+
+// TestNewOwnerAcceptsWhatItsPredecessorRefused: a new owner accepted every job for 3 s, so that
+// owners that changed every few seconds refused none.
+func TestNewOwnerAcceptsWhatItsPredecessorRefused(t *testing.T) {
+	for name, step := range map[string]job.Step{"batch": fourCores(batchStep(8)), "fillers": fourCores(fillerStep(8, "f"))} {
+		t.Run(name, func(t *testing.T) {
+			o := newOverload(newHarness(t, 8), 20, step, dependsOn(0)(step))
+			o.offer(10 * time.Second)
+			must.Positive(t, o.refused)
+			offered, refused := o.offered, o.refused
+			for range 8 {
+				o.succeedOwner()
+				o.offer(2 * time.Second)
+			}
+			// Five times as much comes as the workers can do.
+			must.Greater(t, (o.offered-offered)/2, o.refused-refused)
+			o.run(30 * time.Second)
+			o.succeedOwner()
+			must.True(t, o.admit().Admitted, must.Sprint("once the load is over"))
+			o.checkViolations()
+		})
+	}
+}
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -72,7 +72,11 @@
 	// more is reserved.
 	nextStarvedAtLoad Instant
 	startRates        map[capacityClass]*startRate
-	startOrders       startOrders
+	// refusedUntil holds until when jobs with tasks of a class count as refused, and
+	// inheritedRates the starts per second of the classes that the earlier owner refused.
+	refusedUntil   map[capacityClass]Instant
+	inheritedRates map[capacityClass]float64
+	startOrders    startOrders
 	// batchReserved is the CPU that batch tasks have reserved, in thousandths of a
 	// core.
 	batchReserved int64
@@ -117,6 +121,7 @@
 		periodic:      map[job.ID]*jobState{},
 		workers:       map[platform.WorkerID]*workerState{},
 		startRates:    map[capacityClass]*startRate{},
+		refusedUntil:  map[capacityClass]Instant{},
 		stopsInFlight: map[stopKey]int{},
 		lostRuns:      map[workerRun]*lostRun{},
 		adviceSize:    maxRequestWorkers,
