Refuse jobs while too much accepted work is overdue

Cause: admission estimated the wait from the tasks that could still be in time. What had become overdue left the count, so that the more was overdue, the more was accepted, and overdue tasks give way to all others.

Evidence: TestAcceptedWorkIsLeftWaiting failed in its 8 cases before, with owners that stay and that change, with and without jobs that are stored without admission.

Change: a job is refused, with the time until there is less, while the accepted tasks that have missed their objective take over 6 s to start. A wide job counts with 50 tasks, jobs of a lower priority do not count (TestOverdueWorkKeepsOthersOut).

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/siskinvane/siskinvane/internal/platform"
@@ -27,6 +28,7 @@
 	reasonLateStart = "would wait beyond its latency objective"
 	reasonRoom      = "no room for work without end"
 	reasonStarts    = "too few start orders can be sent"
+	reasonBacklog   = "too much accepted work is overdue"
 )
 
 const (
@@ -41,6 +43,12 @@
 	// batchPeakFactor is the multiple of that peak for which capacity is kept free.
 	batchPeakDecay  = 15 * time.Second
 	batchPeakFactor = 1.1
+	// maxBacklog is how long it may take to start the accepted tasks that have missed their
+	// objective, so that they run soon after the load is over.
+	maxBacklog = 6 * time.Second
+	// maxBacklogOfJob limits what one job counts, so that a wide one does not keep all others
+	// out.
+	maxBacklogOfJob = 50
 	// waitTolerance is the multiple of its slack that a job may be expected to wait:
 	// both are rough estimates, and a refused job earns no payoff.
 	waitTolerance = 1.5
@@ -53,13 +61,21 @@
 // since images suit different workers, or all tasks that are not fillers.
 type capacityClass string
 
+const (
+	fillerClassPrefix = "fill/"
+	plainClass        = capacityClass("plain")
+)
+
 func capacityClassOf(step *job.Step) capacityClass {
 	if step.Fills {
-		return capacityClass("fill/" + step.Image)
+		return capacityClass(fillerClassPrefix + step.Image)
 	}
-	return "plain"
+	return plainClass
 }
 
+// fills reports whether the tasks of the class are fillers.
+func (c capacityClass) fills() bool { return c != plainClass }
+
 // startRate counts starts with exponential decay.
 type startRate struct {
 	count float64
@@ -113,9 +129,10 @@
 }
 
 // Admit decides on a job that is not stored yet. A job that cannot meet its objective
-// is refused immediately, so that the jobs before it meet theirs; long-running work is
-// refused when batch work needs the remaining capacity, and any job when too few start
-// orders can be sent for those before it.
+// is refused immediately, so that the jobs before it meet theirs, and so is one that comes
+// while too many accepted jobs have missed theirs; long-running work is refused when batch
+// work needs the remaining capacity, and any job when too few start orders can be sent for
+// those before it.
 func (s *Shard) Admit(now Instant, sub *job.Submission) Admission {
 	if sub.Spec.Occurrences > 0 {
 		return Admission{Admitted: true}
@@ -135,12 +152,84 @@
 	}
 	if float64(a.Wait) > waitTolerance*float64(a.Slack) {
 		a.Admitted, a.Reason = false, reasonLateStart
+	} else if backlog := s.backlog(now, sub); backlog > maxBacklog {
+		a = Admission{Reason: reasonBacklog, Wait: backlog, Slack: maxBacklog}
+	}
+	if !a.Admitted {
 		a.RetryAfter = min(maxRetryAfter, max(minRetryAfter, a.Wait-a.Slack))
 		s.noteRefusal(now, sub)
 	}
 	return a
 }
 
+// backlog returns how long it takes to start the tasks of accepted jobs that wait for the same
+// CPU as those of a job and have missed their objective. Jobs that can be in time go before
+// them, but each of them has to run some time. It is zero while that is not known.
+func (s *Shard) backlog(now Instant, sub *job.Submission) time.Duration {
+	longest := time.Duration(0)
+	for _, fills := range []bool{false, true} {
+		if !slices.ContainsFunc(sub.Spec.Steps, func(step job.Step) bool { return step.Fills == fills }) {
+			continue
+		}
+		if rate, known := s.startsOf(now, fills); known {
+			tasks := s.countBacklog(fills, sub.Priority)
+			longest = max(longest, time.Duration(float64(tasks)/rate*float64(time.Second)))
+		}
+	}
+	return longest
+}
+
+// countBacklog counts the fillers, or the other tasks, that wait although their occurrence has
+// missed its objective, and those of its later steps. Jobs that come after the given priority
+// do not count.
+func (s *Shard) countBacklog(fills bool, priority int) int {
+	all := 0
+	for _, j := range s.jobs {
+		if j.ended() || j.sub.Priority > priority {
+			continue
+		}
+		tasks := 0
+		for _, steps := range j.occurrences {
+			waiting, later := 0, 0
+			for _, r := range steps {
+				switch {
+				case r.spec.Fills != fills || r.spec.LongRunning:
+				case r.blockedBy > 0:
+					later += r.remaining
+				case len(r.startable) > 0 && timelinessOf(r, s.nowMS) != inTime:
+					waiting += len(r.startable)
+				}
+			}
+			if waiting > 0 {
+				tasks += waiting + later
+			}
+		}
+		all += min(tasks, maxBacklogOfJob)
+	}
+	return all
+}
+
+// startsOf returns the starts per second of all fillers, or of all other tasks. It returns
+// false if they are not known: an owner that may not act makes no plans.
+func (s *Shard) startsOf(now Instant, fills bool) (perSecond float64, known bool) {
+	for class := range s.startRates {
+		if class.fills() == fills {
+			perSecond += s.starts(now, class)
+		}
+	}
+	known = now-s.startOrders.plannedAt <= maxPlanGap
+	if s.warmingUp(now) {
+		inherited := 0.0
+		for class, rate := range s.inheritedRates {
+			if class.fills() == fills {
+				inherited += rate
+			}
+		}
+		perSecond, known = max(perSecond, inherited), inherited > 0
+	}
+	return max(perSecond, 1/startRateWindow.Seconds()), known
+}
+
 // warmingUp reports whether this owner has not measured for long enough to refuse jobs.
 func (s *Shard) warmingUp(now Instant) bool { return now < s.takenOverAt+admissionWarmUp }
 
--- a/internal/scheduler/admit_test.go
+++ b/internal/scheduler/admit_test.go
@@ -85,3 +85,56 @@
 		})
 	}
 }
+
+// TestAcceptedWorkIsLeftWaiting: jobs that had become overdue were not counted by admission, so
+// that they piled up and waited for long after the load, under owners that stay or change and
+// with hosts that store jobs themselves.
+func TestAcceptedWorkIsLeftWaiting(t *testing.T) {
+	// The platform's rules ask for all jobs 14 s after the load.
+	const limit = 14 * time.Second
+	for name, step := range map[string]job.Step{"batch": fourCores(batchStep(8)), "fillers": fourCores(fillerStep(8, "f"))} {
+		for _, reign := range []time.Duration{0, 4 * time.Second} {
+			for _, bypass := range []int{0, 10} {
+				t.Run(fmt.Sprint(name, " ", reign, " ", bypass), func(t *testing.T) {
+					o := newOverload(newHarness(t, 8), 20, step, dependsOn(0)(step))
+					o.bypass = bypass
+					for o.now < time.Minute+time.Minute {
+						o.offer(4 * time.Second)
+						if reign > 0 {
+							o.succeedOwner()
+						}
+					}
+					must.Positive(t, len(o.accepted))
+					o.run(limit)
+					for _, id := range o.accepted {
+						must.Eq(t, job.Done, o.state(id))
+					}
+					o.checkViolations()
+				})
+			}
+		}
+	}
+}
+
+// TestOverdueWorkKeepsOthersOut: one wide job that is overdue, or many of a lower priority, are
+// no reason to refuse jobs that go before them.
+func TestOverdueWorkKeepsOthersOut(t *testing.T) {
+	step := fourCores(batchStep(8))
+	for name, fill := range map[string]func(o *overload){
+		"wide": func(o *overload) { o.submit(firstID, nil, nil, fourCores(batchStep(5000))) },
+		"lower priority": func(o *overload) {
+			for i := range 200 {
+				o.submitAs(fmt.Sprintf("%016x", i), func(s *job.Submission) { s.Priority = 1 }, nil, nil, step)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := newOverload(newHarness(t, 8), 2, step)
+			fill(o)
+			o.run(8 * time.Second)
+			o.offer(8 * time.Second)
+			must.Zero(t, o.refused)
+			o.checkViolations()
+		})
+	}
+}
