--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -39,6 +39,10 @@
 	admissionWarmUp = 3 * time.Second
 	// refusalMemory is how long after a refusal a class of tasks counts as refused.
 	refusalMemory = 5 * time.Second
+	// maxRefusedClasses and maxRefusedClassBytes limit the classes that count as refused, since
+	// callers name the images.
+	maxRefusedClasses    = 64
+	maxRefusedClassBytes = 256
 	// batchPeakDecay is the time constant with which the peak of batch work decays.
 	// batchPeakFactor is the multiple of that peak for which capacity is kept free.
 	batchPeakDecay  = 15 * time.Second
@@ -238,6 +242,9 @@
 func (s *Shard) noteRefusal(now Instant, sub *job.Submission) {
 	for i := range sub.Spec.Steps {
 		class := capacityClassOf(&sub.Spec.Steps[i])
+		if _, known := s.refusedUntil[class]; !known && (len(s.refusedUntil) >= maxRefusedClasses || len(class) > maxRefusedClassBytes) {
+			continue
+		}
 		if !s.isRefused(now, class) {
 			s.journal.markModels()
 		}
--- a/internal/scheduler/admit_test.go
+++ b/internal/scheduler/admit_test.go
@@ -138,3 +138,20 @@
 		})
 	}
 }
+
+// TestRefusedImagesFillNoRecord guards against callers who fill the record of the learned state
+// with the names of images, so that none of it is recorded.
+func TestRefusedImagesFillNoRecord(t *testing.T) {
+	step := fourCores(fillerStep(8, "f"))
+	o := newOverload(newHarness(t, 8), 20, step, dependsOn(0)(step))
+	o.bypass = 1
+	o.offer(30 * time.Second)
+	for i := range 1000 {
+		image := fmt.Sprintf("%0*d", 10+i, i)
+		o.steps = []job.Step{fourCores(fillerStep(8, image))}
+		must.False(t, o.admit().Admitted)
+	}
+	learned, err := o.shard.LearnedModels()
+	must.NoError(t, err)
+	must.Less(t, job.MaxRecordBytes/4, len(learned))
+}
