Cancel tests: a refusal that a cancelled job escapes, and names

Read-through: TestCancelledSubmissionIsStoredUnderLoad submits a job that is refused otherwise, in place of asking the host.

--- a/internal/process/node/cancel_test.go
+++ b/internal/process/node/cancel_test.go
@@ -13,10 +13,10 @@
 	"github.com/siskinvane/siskinvane/internal/standin/memstore"
 )
 
-// cancelUnder cancels the job of submit as a caller with a timeout of 3 s.
-func cancelUnder(n *Node) error {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-	defer cancel()
+// cancel cancels the job of submit as a caller with a timeout of 3 s.
+func cancel(n *Node) error {
+	ctx, stop := context.WithTimeout(context.Background(), 3*time.Second)
+	defer stop()
 	return n.Cancel(ctx, jobID)
 }
 
@@ -32,7 +32,7 @@
 		must.NoError(f.t, err, must.Sprint(name))
 		must.Zero(f.t, pending, must.Sprint(name))
 		must.NoError(f.t, submit(n, 3*time.Second), must.Sprint(name))
-		must.NoError(f.t, cancelUnder(n), must.Sprint(name))
+		must.NoError(f.t, cancel(n), must.Sprint(name))
 	}
 }
 
@@ -80,7 +80,7 @@
 				}
 				canceller := f.nodes[c.canceller]
 				cancelled := make(chan error, 1)
-				go func() { cancelled <- cancelUnder(canceller) }()
+				go func() { cancelled <- cancel(canceller) }()
 				if c.late && c.canceller != "v" {
 					must.ErrorIs(t, <-cancelled, ErrUnknownJob)
 					_, err := f.nodes["v"].State(context.Background(), jobID)
@@ -113,13 +113,13 @@
 				for _, s := range stores {
 					fault(s).Store(true)
 				}
-				err := cancelUnder(f.nodes["v"])
+				err := cancel(f.nodes["v"])
 				must.Error(t, err)
 				must.False(t, errors.Is(err, ErrUnknownJob))
 				for _, s := range stores {
 					fault(s).Store(false)
 				}
-				must.ErrorIs(t, cancelUnder(f.nodes["v"]), ErrUnknownJob)
+				must.ErrorIs(t, cancel(f.nodes["v"]), ErrUnknownJob)
 				must.NoError(t, submit(f.nodes["u"], 3*time.Second))
 				time.Sleep(time.Second)
 				f.mustBeCancelled()
@@ -187,9 +187,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f, _ := newFleetWithViews(t, "u", "v")
 		n := f.nodes["v"]
-		must.ErrorIs(t, cancelUnder(n), ErrUnknownJob)
+		must.ErrorIs(t, cancel(n), ErrUnknownJob)
 		time.Sleep(n.cancellationRetention() - time.Second)
-		must.ErrorIs(t, cancelUnder(n), ErrUnknownJob)
+		must.ErrorIs(t, cancel(n), ErrUnknownJob)
 		time.Sleep(n.cancellationRetention()/2 - time.Second)
 		must.NoError(t, submit(f.nodes["u"], 3*time.Second))
 		time.Sleep(time.Second)
@@ -198,26 +198,38 @@
 	})
 }
 
+// submitEndless submits a job without an end, which is refused since there are no workers.
+func submitEndless(n *Node, id job.ID) error {
+	endless := submission()
+	endless.Spec.Steps[0].LongRunning, endless.Spec.Steps[0].Size.MilliCPU = true, 1000
+	ctx, stop := context.WithTimeout(context.Background(), 3*time.Second)
+	defer stop()
+	return n.Submit(ctx, id, endless)
+}
+
 // TestCancelledSubmissionIsStoredUnderLoad guards against a cancelled job whose caller is told
 // to come back with it since there is no room.
 func TestCancelledSubmissionIsStoredUnderLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, _ := newFleetWithViews(t, "u", "v")
-		must.ErrorIs(t, cancelUnder(f.nodes["v"]), ErrUnknownJob)
-		must.True(t, f.nodes["u"].mustStore(jobID))
-		must.False(t, f.nodes["u"].mustStore(otherJobID))
+		must.ErrorIs(t, cancel(f.nodes["v"]), ErrUnknownJob)
+		var refused *RefusedError
+		must.True(t, errors.As(submitEndless(f.nodes["v"], otherJobID), &refused))
+		must.NoError(t, submitEndless(f.nodes["v"], jobID))
+		time.Sleep(time.Second)
+		f.mustBeCancelled()
 		f.stopAll()
 	})
 }
 
-// TestLateCancellationOfDeletedJob: the deletion of a job also deletes the cancellation that
+// TestCancellationOutlivesDeletedJob: the deletion of a job has to delete the cancellation that
 // came before its submission, so that its ID is free again.
-func TestLateCancellationOfDeletedJob(t *testing.T) {
+func TestCancellationOutlivesDeletedJob(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newTestCluster()
 		n := c.startHost(t, "h1", 1)
 		time.Sleep(2 * time.Second)
-		must.ErrorIs(t, cancelUnder(n), ErrUnknownJob)
+		must.ErrorIs(t, cancel(n), ErrUnknownJob)
 		must.NoError(t, submit(n, 3*time.Second))
 		time.Sleep(2*time.Minute + n.cancellationRetention())
 		for _, key := range []string{"j", "c", "p"} {
@@ -237,21 +249,14 @@
 func TestRefusedJobIsStoredByAnotherHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, views := newFleetWithViews(t, "u", "v", "w")
-		endless := submission()
-		endless.Spec.Steps[0].LongRunning, endless.Spec.Steps[0].Size.MilliCPU = true, 1000
-		submitAt := func(n *Node) error {
-			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-			defer cancel()
-			return n.Submit(ctx, jobID, endless)
-		}
 		owner := f.nodes["u"].Peer.Addr()
 		f.network.SetPartitioned(owner, true)
 		views["v"].Set(memstore.LateAppends, 0)
 		first := make(chan error, 1)
-		go func() { first <- submitAt(f.nodes["v"]) }()
+		go func() { first <- submitEndless(f.nodes["v"], jobID) }()
 		time.Sleep(1500 * time.Millisecond)
 		f.network.SetPartitioned(owner, false)
-		second := submitAt(f.nodes["w"])
+		second := submitEndless(f.nodes["w"], jobID)
 		var refused *RefusedError
 		wasRefused := errors.As(second, &refused)
 		<-first
