--- a/internal/experiment/day/callers.go
+++ b/internal/experiment/day/callers.go
@@ -40,8 +40,10 @@
 	submission *job.Submission
 	// longRunning is set if the job runs until its caller cancels it.
 	longRunning bool
-	// crashing is set if tasks of the job crash the workers that start them.
+	// crashing is set if tasks of the job crash the workers that start them, and leaves if the
+	// caller leaves before its submission is answered, and cancels the job.
 	crashing   bool
+	leaves     bool
 	colocation colocation
 
 	accepted, cancelled, refused bool
@@ -96,6 +98,7 @@
 		},
 		func(ref job.TaskRef, n platform.Attempt) bool { return draw(ref, uint64(n)<<16) < failShare })
 	c.drawCrashing(p, rand.New(rand.NewPCG(p.Seed, crashingStream+uint64(number))))
+	c.leaves = rand.New(rand.NewPCG(p.Seed, leavingStream+uint64(number))).Float64() < p.LeavingShare
 	return c
 }
 
@@ -155,6 +158,10 @@
 
 // run submits the job and polls it until it has ended or ctx is done.
 func (c *caller) run(ctx context.Context) {
+	if c.leaves {
+		c.leave(ctx)
+		return
+	}
 	submittedAt := c.sim.now()
 	if !c.submit(ctx) {
 		return
@@ -194,6 +201,29 @@
 	return hosts[c.random.IntN(len(hosts))].node.Load()
 }
 
+// maxPatience bounds the time after which a caller leaves that does not wait for the answer to
+// its submission.
+const maxPatience = 1500 * time.Millisecond
+
+// leave submits the job, leaves without an answer, and cancels the job until that is answered.
+// The host goes on with the submission, since it does not notice.
+func (c *caller) leave(ctx context.Context) {
+	n := c.randomNode()
+	if n == nil || n.Queues() == nil {
+		return
+	}
+	go func() {
+		call, stop := context.WithTimeout(context.Background(), callTimeout)
+		defer stop()
+		// Nobody is there for the answer.
+		_ = n.Submit(call, c.id, c.submission)
+	}()
+	wait(ctx, time.Duration(c.random.Int64N(int64(maxPatience))))
+	for ctx.Err() == nil && !c.cancel() {
+		wait(ctx, pollInterval)
+	}
+}
+
 // submit reports whether the job was accepted.
 func (c *caller) submit(ctx context.Context) bool {
 	for range submitAttempts {
@@ -229,7 +259,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	c.cancelRequested = true
-	if n.Cancel(ctx, c.id) != nil {
+	if err := n.Cancel(ctx, c.id); err != nil && !(c.leaves && errors.Is(err, node.ErrUnknownJob)) {
 		return false
 	}
 	c.cancelled = true
--- a/internal/experiment/day/day.go
+++ b/internal/experiment/day/day.go
@@ -47,6 +47,9 @@
 	// CrashingShare is the fraction of jobs with tasks that crash the workers that start
 	// them.
 	CrashingShare float64 `json:"crashing_share,omitempty"`
+	// LeavingShare is the fraction of callers that leave before their submission is answered, and
+	// cancel the job.
+	LeavingShare float64 `json:"leaving_share,omitempty"`
 	// LinkKBPerSecond is the bandwidth, in 1000 bytes per second and direction, of each
 	// host's link to the workers. Zero stands for no limit.
 	LinkKBPerSecond float64 `json:"link_kb_per_second,omitempty"`
@@ -100,12 +103,13 @@
 
 // declarationsStream selects the random numbers that versions of the declarations are drawn
 // from, and the other streams are added to a caller's number for those that its job's crashes,
-// additional gangs and colocation are drawn from. The streams of callers are numbered from 1.
+// additional gangs, colocation and its leaving are drawn from. The streams of callers are numbered from 1.
 const (
 	declarationsStream = 1 << 32
 	crashingStream     = 1 << 33
 	gangStream         = 1 << 34
 	colocationStream   = 1 << 35
+	leavingStream      = 1 << 36
 )
 
 // reductionsStream selects the random numbers that reductions of capacities are drawn from.
--- a/internal/experiment/day/day_test.go
+++ b/internal/experiment/day/day_test.go
@@ -179,3 +179,19 @@
 		})
 	}
 }
+
+// TestJobsOfLeavingCallersStayCancelled guards against jobs that run although their callers left
+// before an answer and cancelled them at another host.
+func TestJobsOfLeavingCallersStayCancelled(t *testing.T) {
+	t.Parallel()
+	for i := range *days {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runDay(t, Plan{
+				Hosts: 4, Workers: 12, Seconds: 20, QuietSeconds: 45, JobsPerSecond: 6,
+				LeavingShare: 0.5, LongRunningShare: 0.2, RandomFaults: 4 + i%6, Seed: seed,
+			})
+		})
+	}
+}
