Event 7214: workers of earlier owners that a new owner has not heard

Line 7113 says that a step waits for unheard workers. It does not say how many are enrolled, how many answer, whether these bound the earlier owners' leases, who was the last to reach the others and whether they still have entries, so a partition, long-lost workers and unknown terms of owners look alike. The new line says so each second from the takeover until none is left. No decision changes.

--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -72,6 +72,13 @@
 		d.counter("attempts.on_trial").Inc(1)
 		event.TaskOnTrial.Log(d.Logger, logrus.Fields{"task": note.Task.String(), "worker": note.Worker, "headroom": math.Round(note.Headroom*100) / 100})
 	}
+	for _, note := range n.Unheard {
+		d.gauge("workers.unheard").Update(int64(note.Unheard))
+		event.WorkersUnheard.Log(d.Logger, logrus.Fields{
+			"after_ms": note.After.Milliseconds(), "enrolled": note.Enrolled, "answered": note.Answered, "quorum": note.Quorum,
+			"unheard": note.Unheard, "without_entry": note.WithoutEntry, "oldest_claim": note.OldestClaim,
+		})
+	}
 	for _, note := range n.SetAside {
 		d.counter("workers.set_aside").Inc(1)
 		event.WorkerSetAside.Log(d.Logger, logrus.Fields{"worker": note.Worker, "reason": note.Reason, "for_ms": note.For.Milliseconds()})
--- a/internal/process/event/job.go
+++ b/internal/process/event/job.go
@@ -41,6 +41,7 @@
 	HandBackFailed    = declare(7211, logrus.WarnLevel, "shard not handed to a preferred host")
 	SteppedAside      = declare(7212, logrus.WarnLevel, "host leaves the shard to others")
 	ShardNotTaken     = declare(7213, logrus.WarnLevel, "no host takes the shard over")
+	WorkersUnheard    = declare(7214, logrus.InfoLevel, "workers of earlier owners not heard")
 	RecordNotEncoded  = declare(7204, logrus.ErrorLevel, "record not encoded")
 	RecordDelayed     = declare(7205, logrus.WarnLevel, "record delayed")
 	RecordUnreadable  = declare(7206, logrus.WarnLevel, "record unreadable")
--- a/internal/scheduler/notes.go
+++ b/internal/scheduler/notes.go
@@ -21,6 +21,7 @@
 	SetAside  []SetAsideNote
 	Crashes   []CrashNote
 	Trials    []TrialNote
+	Unheard   []UnheardNote
 }
 
 // TrialNote says that a filler starts or goes on without the headroom that it is expected to
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -70,6 +70,7 @@
 		s.expireLeases(now)
 		s.forgetEmptied(now)
 		s.updateBatchPeak(now)
+		s.noteUnheard(now)
 		for _, w := range s.workers {
 			s.repeatStops(now, w)
 			s.issueThrottleOrders(now, w)
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -59,6 +59,7 @@
 	// enrolledWorkers counts the workers that earlier owners had enrolled,
 	// reconciledWorkers those of them that have answered.
 	enrolledWorkers, reconciledWorkers int
+	unheardNotes                       unheardNotes
 }
 
 // PredecessorEnded records that the owner with the given claim has sent its last order: its
