--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -363,3 +363,14 @@
 		})
 	}
 }
+
+// TestHalfOfWorkersUnheardIsNoLongWait: a new owner heard half of the workers and waited for
+// 15 s, although no owner before it could prove its ownership without some of them.
+func TestHalfOfWorkersUnheardIsNoLongWait(t *testing.T) {
+	h, _ := newTakeoverHarness(t, "w00", longRunningStep())
+	h.cluster.SetPartitioned("w01", true)
+	h.cluster.SetPartitioned("w02", true)
+	h.takeOver(false)
+	must.Between(t, 5*time.Second, h.runUntilStart(30*time.Second), 6*time.Second)
+	h.checkViolations()
+}
--- a/internal/scheduler/unheard_test.go
+++ b/internal/scheduler/unheard_test.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/scheduler"
+	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
 // TestUnheardWorkersAreNoted: the logs did not tell how many of the enrolled workers a new owner
@@ -27,3 +29,33 @@
 	must.Zero(t, last.Unheard)
 	must.Less(t, 10*time.Second, last.After, must.Sprint("the last note tells when the wait was over"))
 }
+
+// loseWorkersBefore cuts half of the workers off, lets the owner notice it, and replaces the
+// owner while a task of a new job waits.
+func loseWorkersBefore(t *testing.T, noticed time.Duration) (*harness, job.ID) {
+	h := newHarness(t, 6)
+	h.run(500 * time.Millisecond)
+	for _, id := range []platform.WorkerID{"w00", "w01", "w02"} {
+		h.cluster.SetPartitioned(id, true)
+	}
+	h.run(noticed)
+	h.maxStarts = 0
+	id := h.submit(firstID, fixedLength(1), nil, batchStep(1))
+	h.run(100 * time.Millisecond)
+	h.takeOver(false)
+	h.maxStarts = unlimitedStarts
+	return h, id
+}
+
+// TestTasksWaitForWorkersLostBeforeTakeover: workers had not answered for seconds when their
+// owner was replaced. Tasks that it had not started since waited for them, although it could
+// not have started any of these there.
+func TestTasksWaitForWorkersLostBeforeTakeover(t *testing.T) {
+	for _, noticed := range []time.Duration{2 * time.Second, 10 * time.Second} {
+		t.Run(noticed.String(), func(t *testing.T) {
+			h, _ := loseWorkersBefore(t, noticed)
+			must.Less(t, 3*time.Second, h.runUntilStart(20*time.Second))
+			h.checkViolations()
+		})
+	}
+}
