Leases end a bounded time after their owner's proof of ownership

A new owner starts no task that an earlier one may have left on a worker that it does not hear. Without an answer from two thirds of the enrolled workers it waited 15.2 s: 10 s for which the owner before may act on the answers of two thirds, and 5.2 s for the leases that it grants at the end.

- Two thirds is needed on one side only: an owner that lacks the log acts on two thirds; once more than a third of the same workers has accepted a later token, no such two thirds are left.
The set is the one that the log lists.
An owner counts all that the log may list (also records under way), so its two thirds are two thirds of that set.
- A lease ended 5 s after its order, which is up to 2.5 s after the answers that allowed it.
It now ends 5.3 s after the proof itself: the last read of the log, or the time through which two thirds have answered.

So a new owner waits 5.5 s where it hears over a third of the workers, in place of 7.7 s with two thirds and 15.2 s else. While the last read is over 1 s old, workers are asked for their lists more often, so that leases keep their length. The owner's record says that it bounds its leases; owners of earlier versions are waited for as before. Beyond one change of owners the set of workers may differ, so there two thirds are needed as before.

TestWithoutQuorumWaitsForAuthorityBound cut half of the workers off, which does not need the long wait any more; it cuts off two thirds now, with the same bounds. TestOwnerOfEarlierVersionIsWaitedForLonger keeps the old case with its bounds.

--- a/internal/process/dispatch/orders.go
+++ b/internal/process/dispatch/orders.go
@@ -34,6 +34,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	sent = d.Clock()
+	d.shard.OwnershipConfirmed(sent - d.ConfirmationAge())
 	current, wanted = d.shard.BeginStart(sent, a)
 	if !wanted {
 		d.starts.withdraw(o)
--- a/internal/process/dispatch/renew.go
+++ b/internal/process/dispatch/renew.go
@@ -127,7 +127,9 @@
 		d.mu.Lock()
 		if held || !d.shard.RenewsAtOnce(d.Clock(), id) {
 			r.sent = d.Clock()
-			d.shard.LogRead(r.sent - d.ConfirmationAge())
+			confirmedAt := r.sent - d.ConfirmationAge()
+			d.shard.LogRead(confirmedAt)
+			d.shard.OwnershipConfirmed(confirmedAt)
 			ok := false
 			if r.worker, r.order, ok = d.shard.RenewOrder(r.sent, id); !ok {
 				delete(d.renewing, id)
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -174,7 +174,7 @@
 		return err
 	}
 	previous := n.table.Owner()
-	own := job.Ownership{Host: n.Host, Addr: n.Peer.String(), Epoch: epoch, Claim: previous.Claim + 1, Standby: n.standby()}
+	own := job.Ownership{Host: n.Host, Addr: n.Peer.String(), Epoch: epoch, Claim: previous.Claim + 1, Standby: n.standby(), BoundsLeases: true}
 	d := dispatch.New(dispatch.Config{
 		Store: n.Store, Partition: n.partition, Workers: n.Workers, Advisor: n.Advisor, Clock: n.Clock, Logger: n.Logger, Metrics: n.Metrics,
 		Bounds: n.bounds(), Ownership: own, Predecessors: n.predecessors(), AppendBytes: n.AppendBytes,
@@ -307,7 +307,7 @@
 func (n *Node) predecessors() []scheduler.Predecessor {
 	var list []scheduler.Predecessor
 	for _, o := range n.table.Owners() {
-		list = append(list, scheduler.Predecessor{Claim: o.Claim, Released: o.Released, QuorumAt: o.QuorumAt, ReplacedAt: o.ReplacedAt})
+		list = append(list, scheduler.Predecessor{Claim: o.Claim, Released: o.Released, QuorumAt: o.QuorumAt, ReplacedAt: o.ReplacedAt, BoundsLeases: o.BoundsLeases})
 	}
 	return list
 }
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -65,6 +65,8 @@
 	ticketsRequired bool
 	// workers is the number of workers at the start.
 	workers int
+	// earlierVersion is set if owners are of a version that does not bound its leases.
+	earlierVersion bool
 }
 
 // unlimitedStarts is more start orders than any test plans.
@@ -99,12 +101,13 @@
 // takeOver replaces the owner by one that knows only what was recorded.
 func (h *harness) takeOver(released bool) {
 	if h.claim > 0 {
-		h.predecessors = append(h.predecessors, scheduler.Predecessor{Claim: h.claim, QuorumAt: h.quorumAt, ReplacedAt: h.now, Released: released})
+		h.predecessors = append(h.predecessors, scheduler.Predecessor{Claim: h.claim, QuorumAt: h.quorumAt, ReplacedAt: h.now, Released: released, BoundsLeases: !h.earlierVersion})
 	}
 	h.quorumAt = 0
 	h.claim++
 	h.shard = scheduler.New(bounds, job.Ownership{Epoch: platform.Epoch(h.claim), Claim: h.claim}, h.now, h.predecessors)
 	h.shard.ClaimRecorded(h.now)
+	h.shard.OwnershipConfirmed(h.now)
 	h.shard.SetConfig(h.config)
 	for _, e := range h.enrolled {
 		must.NoError(h.t, h.shard.Enroll(e))
@@ -167,6 +170,7 @@
 	h.cluster.Advance(h.now)
 	if !h.readingPaused {
 		h.shard.LogRead(h.now)
+		h.shard.OwnershipConfirmed(h.now)
 	}
 	for i := range max(64, h.workers) {
 		if (h.now/tickInterval+time.Duration(i))%(h.renewInterval/tickInterval) != 0 {
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -133,6 +133,9 @@
 	Claim uint32 `cbor:"4,keyasint"`
 	// Standby is set if the owner's network link is too narrow for a preferred owner.
 	Standby bool `cbor:"6,keyasint,omitempty"`
+	// BoundsLeases is set by an owner whose leases end in a short time after its last proof
+	// of ownership, see scheduler.Predecessor. Earlier versions do not set it.
+	BoundsLeases bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Enrollment is the record of a worker on which an owner may start tasks and extend
--- a/internal/scheduler/journal.go
+++ b/internal/scheduler/journal.go
@@ -19,6 +19,8 @@
 	// record later owners no longer need.
 	enrolled   map[platform.WorkerID]*workerState
 	unenrolled map[platform.WorkerID]bool
+	// listed are the workers that the log may list as enrolled.
+	listed map[platform.WorkerID]bool
 	// models is set while the learned models contain a change that the next owner has to
 	// know.
 	models bool
@@ -26,6 +28,7 @@
 
 func (l *journal) enroll(w *workerState) {
 	l.enrolled[w.info.ID] = w
+	l.listed[w.info.ID] = true
 	delete(l.unenrolled, w.info.ID)
 	l.urgent = true
 }
@@ -110,6 +113,11 @@
 			}
 		}
 	}
+	for _, id := range u.Unenrolled {
+		if w := s.workers[id]; w == nil || !w.enrolled && !w.enrolling {
+			delete(s.journal.listed, id)
+		}
+	}
 	for _, c := range u.Changes {
 		j, ok := s.jobs[c.ID]
 		if !ok {
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -27,6 +27,8 @@
 	// harmRenewWait applies to workers on which fillers may keep a serving task over its
 	// target: they are halted on a measurement.
 	harmRenewWait = 300 * time.Millisecond
+	// quorumRenewWait applies while leases depend on when a quorum of the workers has answered.
+	quorumRenewWait = 600 * time.Millisecond
 	// listsValidity is for how long after it has read its lists a worker counts as the same
 	// run. A worker takes longer to restart. While the owner may not act it sends no renew
 	// orders, so none goes unanswered that would tell of a restart.
@@ -61,8 +63,8 @@
 		w.ended.sent = o.Acknowledged
 	}
 	if w.clock.known && sameRun {
-		if w.enrolled {
-			o.LeaseEnd = w.clock.extendLease(now, s.leaseLength())
+		if length := s.grantableLease(now); w.enrolled && length > 0 {
+			o.LeaseEnd = w.clock.extendLease(now, length)
 		}
 		o.Wait = s.renewWait(w)
 	}
@@ -145,6 +147,8 @@
 		return harmRenewWait
 	case len(w.colocation.serving) > 0 && len(w.colocation.fillers) > 0:
 		return measureRenewWait
+	case s.confirmationStale(s.now):
+		return quorumRenewWait
 	}
 	return maxRenewWait
 }
@@ -190,7 +194,7 @@
 // are urgent.
 func (s *Shard) RenewPause(id platform.WorkerID) time.Duration {
 	w, ok := s.workers[id]
-	if !ok || w.unresponsive() || s.waiting.hasTasks() || w.absenceAwaited() || w.absenceDue() || w.onTrial(s.now) || w.mayHarm() {
+	if !ok || w.unresponsive() || s.waiting.hasTasks() || w.absenceAwaited() || w.absenceDue() || w.onTrial(s.now) || w.mayHarm() || s.confirmationStale(s.now) {
 		return 0
 	}
 	for _, a := range w.attempts {
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -43,6 +43,9 @@
 		// would outlive the lease that this and later owners wait for.
 		s.handleRefusedStart(now, a)
 		return StartAction{}, false
+	case s.grantableLease(now) <= 0:
+		s.handleRefusedStart(now, a)
+		return StartAction{}, false
 	case a.worker.entryOutdated() || a.worker.overcommitted() || !s.CapacitiesKnown(now):
 		// The worker has restarted or shrunk since the plan, or may have.
 		s.handleRefusedStart(now, a)
@@ -53,7 +56,7 @@
 	}
 	action.Worker, action.Run, action.Repeated = a.worker.info, a.worker.run, a.startSent
 	a.orderedAt, a.startSent = now, true
-	action.Order.LeaseEnd = a.worker.clock.extendLease(now, s.leaseLength())
+	action.Order.LeaseEnd = a.worker.clock.extendLease(now, s.grantableLease(now))
 	return action, true
 }
 
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -50,6 +50,7 @@
 	// takenOverAt is when this owner took the shard over.
 	takenOverAt Instant
 	takeover    takeover
+	proof       ownershipProof
 
 	// now is the time of the latest plan or answer.
 	now Instant
@@ -131,7 +132,7 @@
 		lengths:       length.NewModel(),
 		journal: journal{
 			dirty: map[job.ID]*jobState{}, enrolled: map[platform.WorkerID]*workerState{},
-			unenrolled: map[platform.WorkerID]bool{},
+			unenrolled: map[platform.WorkerID]bool{}, listed: map[platform.WorkerID]bool{},
 		},
 	}
 }
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
@@ -8,14 +9,16 @@
 
 // A task that an earlier owner may have started may be started again only once no
 // attempt of it can be running. Workers that answer under the new token list what they
-// run; for the others, the leases that earlier owners granted have to expire. Three
+// run; for the others, the leases that earlier owners granted have to expire. Four
 // rules bound when that is the case:
 //
 //   - An owner acts only for AuthorityBound after its last read of the log that showed
 //     no other owner, and therefore at most that long after the next owner's record was
 //     written.
 //   - Beyond AuthorityWindow it acts only while two thirds of its workers still answer
-//     it. Once two thirds have accepted a later token, some of these would refuse it.
+//     it. Once more than a third has accepted a later token, some of these would refuse it.
+//   - Its leases end at most maxLeaseAfterProof after the later of that read and the time
+//     through which two thirds have answered it.
 //   - It extends leases only on workers that are enrolled under its claim. A worker
 //     that no owner has reached since can run only what the last owner to reach it has
 //     started there.
@@ -30,6 +33,12 @@
 	// maxResidualLease is how long a lease may last after its owner's last order, on a
 	// clock that is 2% slow.
 	maxResidualLease = leaseLength*100/98 + leaseExpiryMargin
+	// maxLeaseAfterProof is how long a lease may last after its owner's proof of ownership.
+	// It exceeds leaseLength by the usual age of the proof, an owner's last read of the log.
+	maxLeaseAfterProof = leaseLength + 300*time.Millisecond
+	// maxLeaseAfterSuccession is how long leases of an owner that bounds them may last after
+	// no proof of its ownership can be renewed, on a clock that is 2% slow.
+	maxLeaseAfterSuccession = maxLeaseAfterProof*100/98 + leaseExpiryMargin
 )
 
 // Predecessor is an earlier owner of a shard.
@@ -44,6 +53,9 @@
 	Released bool
 	// EndedAt is when the owner was known to have sent its last order, or zero.
 	EndedAt Instant
+	// BoundsLeases is set if the owner's leases end at most maxLeaseAfterProof after its last
+	// proof of ownership.
+	BoundsLeases bool
 }
 
 // takeover tracks what earlier owners may have left running.
@@ -54,8 +66,9 @@
 	// claimRecordedAt is when this owner's record was in the log, or zero.
 	claimRecordedAt Instant
 	// quorumAt is when a quorum of the workers enrolled by earlier owners had accepted
-	// this owner's token, or zero.
-	quorumAt Instant
+	// this owner's token, or zero. successionAt is when so many had that no quorum of the
+	// owner before is left.
+	quorumAt, successionAt Instant
 	// enrolledWorkers counts the workers that earlier owners had enrolled,
 	// reconciledWorkers those of them that have answered.
 	enrolledWorkers, reconciledWorkers int
@@ -83,6 +96,9 @@
 	if t.quorumAt == 0 && job.IsQuorum(t.reconciledWorkers, t.enrolledWorkers) {
 		t.quorumAt = now
 	}
+	if t.successionAt == 0 && !job.IsQuorum(t.enrolledWorkers-t.reconciledWorkers, t.enrolledWorkers) {
+		t.successionAt = now
+	}
 }
 
 // leasesExpired reports whether all leases have expired on a worker that no owner after
@@ -94,12 +110,20 @@
 	if t.claimRecordedAt == 0 {
 		return false
 	}
-	if t.quorumAt != 0 && now >= max(t.quorumAt, t.claimRecordedAt)+maxLeaseAfterQuorum {
+	bounded := t.boundsLeases(claim)
+	afterQuorum := maxLeaseAfterQuorum
+	if bounded {
+		afterQuorum = maxLeaseAfterSuccession
+	}
+	if t.quorumAt != 0 && now >= max(t.quorumAt, t.claimRecordedAt)+afterQuorum {
 		return true
 	}
 	last := len(t.predecessors) - 1
+	if bounded && claim == t.predecessors[last].Claim && t.successionAt != 0 && now >= max(t.successionAt, t.claimRecordedAt)+maxLeaseAfterSuccession {
+		return true
+	}
 	for i, p := range t.predecessors {
-		if p.Claim > claim && p.QuorumAt != 0 && now >= p.QuorumAt+maxLeaseAfterQuorum {
+		if p.Claim > claim && p.QuorumAt != 0 && now >= p.QuorumAt+afterQuorum {
 			return true
 		}
 		if p.Claim < claim {
@@ -123,6 +147,12 @@
 	return false
 }
 
+// boundsLeases reports whether the owner with the given claim is known to bound its leases.
+func (t *takeover) boundsLeases(claim uint32) bool {
+	i := slices.IndexFunc(t.predecessors, func(p Predecessor) bool { return p.Claim == claim })
+	return i >= 0 && t.predecessors[i].BoundsLeases
+}
+
 // maxLeaseAfterQuorum is how long earlier owners' leases may last once a quorum has
 // accepted a later token.
 const maxLeaseAfterQuorum = AuthorityWindow + maxResidualLease
@@ -180,24 +210,84 @@
 	return len(t.failures) > 0
 }
 
+// OwnershipConfirmed records that a read of the log sent at the given time reached its end
+// and showed no later owner.
+func (s *Shard) OwnershipConfirmed(at Instant) { s.proof.confirmedAt = max(s.proof.confirmedAt, at) }
+
+// ownershipProof tracks up to when no later owner can have ended this one's leases.
+type ownershipProof struct {
+	// confirmedAt is when the latest read of the log was sent that showed no later owner.
+	confirmedAt Instant
+	// quorumThrough caches what quorumThrough returned at quorumCheckedAt.
+	quorumThrough, quorumCheckedAt Instant
+}
+
+const (
+	// staleConfirmation is the age of the last read of the log from which on leases depend on
+	// the answers of a quorum of the workers.
+	staleConfirmation = time.Second
+	// quorumCheckInterval is how long the time through which a quorum has answered is cached.
+	quorumCheckInterval = 50 * time.Millisecond
+)
+
+// provenAt returns a time up to which no later owner that would end this one's leases can
+// have been in force.
+func (s *Shard) provenAt(now Instant) Instant {
+	if !s.confirmationStale(now) {
+		return s.proof.confirmedAt
+	}
+	return max(s.proof.confirmedAt, s.recentQuorum(now))
+}
+
+// confirmationStale reports whether the last read of the log is so old that leases depend on
+// a quorum.
+func (s *Shard) confirmationStale(now Instant) bool {
+	return now > s.proof.confirmedAt+staleConfirmation
+}
+
+// recentQuorum returns what quorumThrough returned not long ago. That does not become untrue.
+func (s *Shard) recentQuorum(now Instant) Instant {
+	if now >= s.proof.quorumCheckedAt+quorumCheckInterval {
+		s.proof.quorumThrough, s.proof.quorumCheckedAt = s.quorumThrough(), now
+	}
+	return s.proof.quorumThrough
+}
+
+// grantableLease returns how long a lease requested now may last, which may be negative.
+func (s *Shard) grantableLease(now Instant) time.Duration {
+	return min(s.leaseLength(), s.provenAt(now)+maxLeaseAfterProof-now)
+}
+
 // HasQuorum reports whether two thirds of the workers that this or an earlier owner has
 // enrolled have answered this owner within AuthorityWindow. Workers that only earlier
 // owners have reached count as well: a later owner's quorum is two thirds of all, and
-// might have none in common with two thirds of those that answer here. A new run of a
-// worker counts only once it is recorded: it has forgotten the token of a later owner,
-// who would have recorded the run as well.
+// might have none in common with two thirds of those that answer here.
 func (s *Shard) HasQuorum(now Instant) bool {
-	total, answered := 0, 0
+	through := s.recentQuorum(now)
+	return through != 0 && now-through < AuthorityWindow
+}
+
+// quorumThrough returns when the oldest of the latest answered renew orders of a quorum of
+// the workers was sent, or zero. All workers count that the log may list as enrolled. A new
+// run of a worker answers for it only once it is recorded: it has forgotten the token of a
+// later owner, who would have recorded the run as well.
+func (s *Shard) quorumThrough() Instant {
+	total := len(s.journal.listed)
+	var answered []Instant
 	for _, w := range s.workers {
-		if !w.enrolled && w.previousClaim == 0 {
-			continue
-		}
-		total++
-		if w.enrolled && w.recordedRun == w.run && w.listsRequested != 0 && now-w.listsRequested < AuthorityWindow {
-			answered++
+		if w.enrolled && w.recordedRun == w.run && w.listsRequested != 0 {
+			answered = append(answered, w.listsRequested)
 		}
 	}
-	return total > 0 && job.IsQuorum(answered, total)
+	if total == 0 || !job.IsQuorum(len(answered), total) {
+		return 0
+	}
+	slices.Sort(answered)
+	oldest := len(answered) - 1
+	for !job.IsQuorum(len(answered)-oldest, total) {
+		oldest--
+	}
+	return answered[oldest]
 }
 
 // isolationFactor says which part of the workers an owner must reach, as its inverse.
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -81,12 +81,36 @@
 	must.Eq(t, 1, unreconciled, must.Sprint("the notes tell what the task waits for"))
 }
 
-// TestWithoutQuorumWaitsForAuthorityBound: while half of the workers are unresponsive,
+// TestWithoutQuorumWaitsForAuthorityBound: while two thirds of the workers are unresponsive,
 // an earlier owner may keep acting for as long as it can without the store.
 func TestWithoutQuorumWaitsForAuthorityBound(t *testing.T) {
+	h, _ := newTakeoverHarness(t, "w00", longRunningStep())
+	for _, id := range []platform.WorkerID{"w01", "w02", "w03"} {
+		h.cluster.SetPartitioned(id, true)
+	}
+	h.takeOver(false)
+	must.Between(t, scheduler.AuthorityBound+5*time.Second, h.runUntilStart(30*time.Second), 16*time.Second)
+	h.checkViolations()
+}
+
+// TestHalfOfWorkersUnheardIsNoLongWait: a new owner heard half of the workers and waited for
+// 15 s, although no owner before it could prove its ownership without some of them.
+func TestHalfOfWorkersUnheardIsNoLongWait(t *testing.T) {
+	h, _ := newTakeoverHarness(t, "w00", longRunningStep())
+	h.cluster.SetPartitioned("w01", true)
+	h.cluster.SetPartitioned("w02", true)
+	h.takeOver(false)
+	must.Between(t, 5*time.Second, h.runUntilStart(30*time.Second), 6*time.Second)
+	h.checkViolations()
+}
+
+// TestOwnerOfEarlierVersionIsWaitedForLonger: an owner of a version that does not bound its
+// leases by its proof may have renewed them for 10 s without the store.
+func TestOwnerOfEarlierVersionIsWaitedForLonger(t *testing.T) {
 	h, _ := newTakeoverHarness(t, "w00", longRunningStep())
 	h.cluster.SetPartitioned("w01", true)
 	h.cluster.SetPartitioned("w02", true)
+	h.earlierVersion = true
 	h.takeOver(false)
 	must.Between(t, scheduler.AuthorityBound+5*time.Second, h.runUntilStart(30*time.Second), 16*time.Second)
 	h.checkViolations()
@@ -363,14 +387,3 @@
 		})
 	}
 }
-
-// TestHalfOfWorkersUnheardIsNoLongWait: a new owner heard half of the workers and waited for
-// 15 s, although no owner before it could prove its ownership without some of them.
-func TestHalfOfWorkersUnheardIsNoLongWait(t *testing.T) {
-	h, _ := newTakeoverHarness(t, "w00", longRunningStep())
-	h.cluster.SetPartitioned("w01", true)
-	h.cluster.SetPartitioned("w02", true)
-	h.takeOver(false)
-	must.Between(t, 5*time.Second, h.runUntilStart(30*time.Second), 6*time.Second)
-	h.checkViolations()
-}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -170,6 +170,7 @@
 	w.info = fleet.Worker{ID: e.Worker, Addr: addr, Service: e.Service, Capacity: e.Capacity, Started: e.Run}
 	w.previousClaim = e.Claim
 	s.takeover.enrolledWorkers++
+	s.journal.listed[e.Worker] = true
 	s.inheritLostRun(e)
 	return nil
 }
