Record what may be running on silent workers

Callers saw accepted jobs with nothing running for 15 s after a change of owners (LOST): tasks that had never been started waited for all workers that the new owner did not hear, also for those that the owner before had not reached for seconds, and for those that were gone for good but still had an entry.

The log only said that tasks may be started on a worker. An owner now records, once a worker has been silent for 0.15 s, that it starts nothing there before a later record, and which tasks may be running there. Progress goes to the log first, so an end that the worker had listed is not unknown. A silent worker on which nothing can be running loses its record, so later owners neither count nor await it. A new owner then holds back the named tasks only. Not recorded: workers that fall silent while the log is out of reach, since the record that opens them again could not be written, and all workers at once, where it is the owner that is cut off.

A record that was under way when a worker was forgotten counted as its enrollment once it was written, and the worker was used although the log did not list it any more (by reading).

TestQuorumOfWorkers pauses recording while workers are cut off: silent workers count for as long as the log lists them, and idle ones lose their record now. Its bounds are as before.

--- a/internal/scheduler/journal.go
+++ b/internal/scheduler/journal.go
@@ -86,10 +86,14 @@
 		u.Changes = append(u.Changes, Change{ID: id, Progress: cloneProgress(j.progress), job: j})
 	}
 	for _, w := range s.journal.enrolled {
-		u.Enrolled = append(u.Enrolled, job.Enrollment{
+		e := job.Enrollment{
 			Worker: w.info.ID, Addr: w.info.Addr.String(), Service: w.info.Service, Capacity: w.info.Capacity,
 			Claim: s.claim, Run: w.run, Lost: w.takeLost(),
-		})
+		}
+		if refs := w.mayRun(); w.silentFor(s.now) >= closeDelay && len(refs) <= maxMayRun {
+			w.closed, e.Closed, e.MayRun = true, true, refs
+		}
+		u.Enrolled = append(u.Enrolled, e)
 	}
 	for id := range s.journal.unenrolled {
 		u.Unenrolled = append(u.Unenrolled, id)
@@ -105,9 +109,13 @@
 func (s *Shard) MarkRecorded(u Unrecorded) {
 	s.journal.lastRecorded = max(s.journal.lastRecorded, u.Through)
 	for _, e := range u.Enrolled {
-		if w, ok := s.workers[e.Worker]; ok {
+		// A worker whose record is to be deleted needs another one first.
+		if w, ok := s.workers[e.Worker]; ok && !s.journal.unenrolled[e.Worker] {
 			s.dirty.add(w)
 			w.enrolled, w.recordedRun = w.info.Addr.String() == e.Addr, e.Run
+			if !e.Closed {
+				w.closed = false
+			}
 			if e.Run == w.run {
 				w.enrolling = false
 			}
@@ -144,7 +152,7 @@
 		}
 	}
 	for _, id := range u.Unenrolled {
-		if _, ok := s.workers[id]; !ok {
+		if w, ok := s.workers[id]; !ok || !w.enrolled && !w.enrolling {
 			s.journal.unenroll(id)
 		}
 	}
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -228,6 +228,7 @@
 		w.unresponsiveSince = sent
 		s.recordLoss(w)
 	}
+	s.closeSilent(now, w)
 }
 
 // unresponsive reports whether the last renew order went unanswered; the worker then
@@ -244,6 +245,7 @@
 			s.forgetWorker(w)
 			continue
 		}
+		s.dismissSilent(now, w)
 		if !w.unresponsive() || w.clock.readAt == 0 || now < w.clock.leasesExpireAt()+leaseExpiryMargin {
 			continue
 		}
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -92,6 +92,7 @@
 	if silent > 1 && silentFactor*silent > len(s.workers) && (silent > maxSilentRecorded || !w.hasUnsettled()) {
 		return
 	}
+	w.lossDue = true
 	s.journal.enroll(w)
 }
 
@@ -116,7 +117,7 @@
 // answer and was not to leave.
 func (w *workerState) takeLost() []job.LostAttempt {
 	w.lossRecorded = false
-	if !w.unresponsive() || w.mayLeave() {
+	if !w.lossDue || !w.unresponsive() || w.mayLeave() {
 		return nil
 	}
 	var list []job.LostAttempt
@@ -132,8 +133,8 @@
 // markHeard records that a worker's run has answered.
 func (s *Shard) markHeard(now Instant, w *workerState) {
 	first := w.heardAt == 0
-	w.heardAt, w.gone = now, false
-	if w.lossRecorded {
+	w.heardAt, w.gone, w.lossDue = now, false, false
+	if w.lossRecorded || w.closed {
 		s.journal.enroll(w)
 	}
 	if first {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -256,9 +256,8 @@
 	// begin when the plan was begun.
 	freeServices map[platform.ServiceName]bool
 	tryable      map[platform.ServiceName][]*workerState
-	// allKnown caches whether every attempt of earlier owners is known; nil until
-	// needed.
-	allKnown *bool
+	// untracked caches the tasks that earlier owners may have left running; nil until needed.
+	untracked *untrackedTasks
 	// schedulable are the workers that may get tasks, and schedulableDirty those of
 	// them that changed after the first dirtySince changes, by service. Both are nil
 	// until needed.
--- /dev/null
+++ b/internal/scheduler/silent.go
@@ -0,0 +1,72 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/siskinvane/siskinvane/internal/scheduler/job"
+)
+
+const (
+	// closeDelay is for how long a worker has to be silent before the log says that nothing
+	// starts there. A lost answer or a broken connection is shorter.
+	closeDelay = 150 * time.Millisecond
+	// maxMayRun bounds the tasks that the record of a closed worker names.
+	maxMayRun = 2000
+)
+
+// silentFor returns how long the worker has not answered, or zero if it did last.
+func (w *workerState) silentFor(now Instant) time.Duration {
+	if !w.unresponsive() {
+		return 0
+	}
+	return now - w.unresponsiveSince
+}
+
+// closeSilent records that nothing starts on a silent worker, so that the next owner has to
+// wait there only for what may be running, which the record names. The worker is used again
+// once a later record is in the log, so none is written while the log is out of reach.
+func (s *Shard) closeSilent(now Instant, w *workerState) {
+	if w.closed || !w.enrolled || w.silentFor(now) < closeDelay || s.confirmationStale(now) || s.nearlyAllSilent() {
+		return
+	}
+	s.journal.enroll(w)
+}
+
+// nearlyAllSilent reports whether fewer than one in isolationFactor of the workers answers. It
+// is probably the owner that is cut off, and records of them all would fill its link.
+func (s *Shard) nearlyAllSilent() bool {
+	silent := 0
+	for _, w := range s.workers {
+		if w.unresponsive() {
+			silent++
+		}
+	}
+	return isolationFactor*(len(s.workers)-silent) < len(s.workers)
+}
+
+// dismissSilent deletes the record of a silent worker on which nothing can be running. It is
+// enrolled again once it answers. Otherwise later owners would count and await it for as long
+// as it has an entry.
+func (s *Shard) dismissSilent(now Instant, w *workerState) {
+	if !w.enrolled && w.previousClaim == 0 || w.enrolling || w.silentFor(now) < closeDelay || !s.idle(now, w) {
+		return
+	}
+	w.enrolled, w.closed, w.lossRecorded = false, false, false
+	w.previousClaim = 0
+	s.journal.unenroll(w.info.ID)
+}
+
+// mayRun returns the tasks that may be running on a worker whose attempts are tracked, or may
+// be started there by orders that are under way.
+func (w *workerState) mayRun() []job.TaskRef {
+	refs := make([]job.TaskRef, 0, len(w.attempts)+len(w.unansweredStarts))
+	for ref := range w.attempts {
+		refs = append(refs, ref)
+	}
+	for ref := range w.unansweredStarts {
+		if w.attempts[ref] == nil {
+			refs = append(refs, ref)
+		}
+	}
+	return refs
+}
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -190,11 +191,35 @@
 	if (t.seenRunning || t.lastAttempt >= p.shard.firstAttempt) && !t.failuresMayBeUnread() {
 		return true
 	}
-	if p.allKnown == nil {
-		allKnown := p.shard.countWithUnknownAttempts(p.now) == 0
-		p.allKnown = &allKnown
+	if p.untracked == nil {
+		p.untracked = p.shard.findUntracked(p.now)
 	}
-	return *p.allKnown
+	return !p.untracked.mayInclude(t.ref())
+}
+
+// untrackedTasks are the tasks of which untracked attempts may be running.
+type untrackedTasks struct {
+	// any is set if it may be any task.
+	any  bool
+	refs map[job.TaskRef]bool
+}
+
+// mayInclude reports whether an untracked attempt of a task may be running.
+func (u *untrackedTasks) mayInclude(ref job.TaskRef) bool { return u.any || u.refs[ref] }
+
+// findUntracked returns the tasks of which untracked attempts may be running.
+func (s *Shard) findUntracked(now Instant) *untrackedTasks {
+	u := &untrackedTasks{refs: map[job.TaskRef]bool{}}
+	for _, w := range s.workers {
+		switch {
+		case s.attemptsKnown(now, w):
+		case w.onlyMayRun == nil:
+			u.any = true
+		default:
+			maps.Copy(u.refs, w.onlyMayRun)
+		}
+	}
+	return u
 }
 
 // failuresMayBeUnread reports whether a task that has failed may have failed more often: an
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -151,6 +151,8 @@
 	h := newHarness(t, 6)
 	h.run(500 * time.Millisecond)
 	must.True(t, h.shard.HasQuorum(h.now))
+	// The log goes on listing silent workers.
+	h.recordingPaused = true
 	h.cluster.SetPartitioned("w00", true)
 	h.cluster.SetPartitioned("w01", true)
 	h.run(scheduler.AuthorityWindow + time.Second)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -22,6 +22,11 @@
 	// previousClaim is the claim of the last earlier owner enrolled on the worker, or
 	// zero.
 	previousClaim uint32
+	// closed is set while the log may say that this owner starts nothing on the worker.
+	closed bool
+	// onlyMayRun holds the tasks that an earlier owner may have left running there, if the
+	// log names them, else nil.
+	onlyMayRun map[job.TaskRef]bool
 	// registered is set while the worker has an entry in the platform's store.
 	registered bool
 	// drainEnd is the earliest time at which a draining worker may terminate, or zero.
@@ -76,8 +81,9 @@
 	// upkeepOrderedAt is when the upkeep of the worker's machine was last known to be ordered,
 	// or zero.
 	upkeepOrderedAt Instant
-	// lossRecorded is set while the log lists the worker's attempts as lost.
-	lossRecorded bool
+	// lossDue is set while the worker is silent and its attempts are to be recorded as lost,
+	// lossRecorded while the log lists them so.
+	lossDue, lossRecorded bool
 	// placedAt is when a start order for the worker was last issued. Until soloUntil a
 	// suspect has to be the only task that has just started there.
 	placedAt, soloUntil Instant
@@ -171,6 +177,12 @@
 	w.previousClaim = e.Claim
 	s.takeover.enrolledWorkers++
 	s.journal.listed[e.Worker] = true
+	if e.Closed {
+		w.onlyMayRun = map[job.TaskRef]bool{}
+		for _, ref := range e.MayRun {
+			w.onlyMayRun[ref] = true
+		}
+	}
 	s.inheritLostRun(e)
 	return nil
 }
@@ -222,7 +234,7 @@
 // schedulable reports whether a worker may get new tasks at all. While it runs orphans
 // its free resources are not known.
 func (w *workerState) schedulable() bool {
-	return w.registered && !w.gone && !w.entryOutdated() && w.enrolled && w.reconciled && w.orphans == 0 && w.clock.known && !w.unresponsive() &&
+	return w.registered && !w.gone && !w.entryOutdated() && w.enrolled && !w.closed && w.reconciled && w.orphans == 0 && w.clock.known && !w.unresponsive() &&
 		!w.info.Draining && !w.cordoned
 }
 
