--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -76,7 +76,7 @@
 		d.gauge("workers.unheard").Update(int64(note.Unheard))
 		event.WorkersUnheard.Log(d.Logger, logrus.Fields{
 			"after_ms": note.After.Milliseconds(), "enrolled": note.Enrolled, "answered": note.Answered, "quorum": note.Quorum,
-			"unheard": note.Unheard, "without_entry": note.WithoutEntry, "oldest_claim": note.OldestClaim,
+			"unheard": note.Unheard, "named": note.Named, "without_entry": note.WithoutEntry, "oldest_claim": note.OldestClaim,
 		})
 	}
 	for _, note := range n.SetAside {
--- a/internal/scheduler/unheard.go
+++ b/internal/scheduler/unheard.go
@@ -12,12 +12,13 @@
 	// After is the time since the takeover.
 	After time.Duration
 	// Enrolled counts the workers that earlier owners had enrolled, Answered those of them
-	// that have answered. Quorum is set if these bound the earlier owners' leases.
+	// that have answered. Quorum is set if these bound the leases of the owner before.
 	Enrolled, Answered int
 	Quorum             bool
-	// Unheard counts the workers that may run attempts that are not tracked, and WithoutEntry
-	// those of them that have no entry in the platform's store.
-	Unheard, WithoutEntry int
+	// Unheard counts the workers that may run attempts that are not tracked, Named those of
+	// them whose tasks the log names, and WithoutEntry those without an entry in the
+	// platform's store.
+	Unheard, Named, WithoutEntry int
 	// OldestClaim is the lowest claim of the owners that were the last to reach one of them.
 	OldestClaim uint32
 }
@@ -28,12 +29,15 @@
 	if t.unheardNotes.ended || now < max(s.takenOverAt, t.unheardNotes.latest)+unheardNoteInterval {
 		return
 	}
-	n := UnheardNote{After: now - s.takenOverAt, Enrolled: t.enrolledWorkers, Answered: t.reconciledWorkers, Quorum: t.quorumAt != 0}
+	n := UnheardNote{After: now - s.takenOverAt, Enrolled: t.enrolledWorkers, Answered: t.reconciledWorkers, Quorum: t.quorumAt != 0 || t.successionAt != 0}
 	for _, w := range s.workers {
 		if s.attemptsKnown(now, w) {
 			continue
 		}
 		n.Unheard++
+		if w.onlyMayRun != nil {
+			n.Named++
+		}
 		if !w.registered {
 			n.WithoutEntry++
 		}
