Name held ends among what may be running on a silent worker

A worker lists the end of a task whose job the owner has yet to read; the end is held and not acknowledged. If the worker then fell silent, its record named only what was running, and a next owner that knew the job started the task again although it had ended. The wait of a step counts the workers that may run the waiting task, not all that are unheard.

--- a/internal/scheduler/journal.go
+++ b/internal/scheduler/journal.go
@@ -90,7 +90,7 @@
 			Worker: w.info.ID, Addr: w.info.Addr.String(), Service: w.info.Service, Capacity: w.info.Capacity,
 			Claim: s.claim, Run: w.run, Lost: w.takeLost(),
 		}
-		if refs := w.mayRun(); w.silentFor(s.now) >= closeDelay && len(refs) <= maxMayRun {
+		if refs := s.mayRun(w); w.silentFor(s.now) >= closeDelay && len(refs) <= maxMayRun {
 			w.closed, e.Closed, e.MayRun = true, true, refs
 		}
 		u.Enrolled = append(u.Enrolled, e)
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -259,8 +259,8 @@
 	}
 }
 
-// idle reports whether nothing can be running on a worker, and no order under way can start
-// anything there.
+// idle reports whether nothing can be running on a worker, no order under way can start
+// anything there, and no end there is unrecorded since its job is unknown.
 func (s *Shard) idle(now Instant, w *workerState) bool {
-	return len(w.attempts) == 0 && len(w.unansweredStarts) == 0 && s.attemptsKnown(now, w)
+	return s.attemptsKnown(now, w) && len(s.mayRun(w)) == 0
 }
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -189,7 +189,7 @@
 		note.Idle = p.now - max(t.queuedAt, r.job.idleSince)
 	}
 	if !p.safeToStart(t) {
-		note.Unreconciled = p.shard.countWithUnknownAttempts(p.now)
+		note.Unreconciled = p.shard.countMayRun(p.now, t.ref())
 	}
 	if !p.shard.CapacitiesKnown(p.now) {
 		note.EntriesAge = p.now - p.shard.entries.readThrough
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -78,7 +78,7 @@
 		s.untrackAttempt(now, a)
 	}
 	if _, known := s.jobs[e.Task.Job]; !known {
-		s.heldEnds = append(s.heldEnds, heldEnd{Ended: e, listedAt: now, pending: w.ended.add(e.Number, notRecordable)})
+		s.heldEnds = append(s.heldEnds, heldEnd{Ended: e, worker: w.info.ID, listedAt: now, pending: w.ended.add(e.Number, notRecordable)})
 		return
 	}
 	if t != nil {
@@ -95,6 +95,7 @@
 // the worker are applied. A worker lists a limited number of unacknowledged ends.
 type heldEnd struct {
 	fleet.Ended
+	worker platform.WorkerID
 	// listedAt is when the worker listed the end. The job was in the log by then.
 	listedAt Instant
 	pending  *pendingEnd
--- a/internal/scheduler/silent.go
+++ b/internal/scheduler/silent.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
@@ -56,17 +58,20 @@
 	s.journal.unenroll(w.info.ID)
 }
 
-// mayRun returns the tasks that may be running on a worker whose attempts are tracked, or may
-// be started there by orders that are under way.
-func (w *workerState) mayRun() []job.TaskRef {
-	refs := make([]job.TaskRef, 0, len(w.attempts)+len(w.unansweredStarts))
+// mayRun returns the tasks that may be running on a worker whose attempts are tracked, may be
+// started there by orders that are under way, or have ended there without a record of it.
+func (s *Shard) mayRun(w *workerState) []job.TaskRef {
+	refs := map[job.TaskRef]bool{}
 	for ref := range w.attempts {
-		refs = append(refs, ref)
+		refs[ref] = true
 	}
 	for ref := range w.unansweredStarts {
-		if w.attempts[ref] == nil {
-			refs = append(refs, ref)
+		refs[ref] = true
+	}
+	for _, h := range s.heldEnds {
+		if h.worker == w.info.ID {
+			refs[h.Task] = true
 		}
 	}
-	return refs
+	return slices.Collect(maps.Keys(refs))
 }
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -163,11 +163,11 @@
 	return w.reconciled || w.gone || s.takeover.leasesExpired(now, w.previousClaim)
 }
 
-// countWithUnknownAttempts counts the workers that may run untracked attempts.
-func (s *Shard) countWithUnknownAttempts(now Instant) int {
+// countMayRun counts the workers that may run an untracked attempt of a task.
+func (s *Shard) countMayRun(now Instant, ref job.TaskRef) int {
 	n := 0
 	for _, w := range s.workers {
-		if !s.attemptsKnown(now, w) {
+		if !s.attemptsKnown(now, w) && (w.onlyMayRun == nil || w.onlyMayRun[ref]) {
 			n++
 		}
 	}
--- a/internal/scheduler/unheard_test.go
+++ b/internal/scheduler/unheard_test.go
@@ -59,3 +59,42 @@
 		})
 	}
 }
+
+// TestEndOfUnreadJobOnSilentWorkerIsNotLost: a worker had listed the end of a task whose job its
+// owner had yet to read, and fell silent. The next owner, which knew the job, started it again.
+func TestEndOfUnreadJobOnSilentWorkerIsNotLost(t *testing.T) {
+	h := newHarness(t, 2)
+	h.run(500 * time.Millisecond)
+	h.cordonAllBut("w00")
+	late := h.submitUnread(firstID)
+	h.run(200 * time.Millisecond)
+	h.cluster.SetPartitioned("w00", true)
+	h.run(2 * time.Second)
+	h.entries[late.ID] = &late
+	starts := h.cluster.Starts()
+	h.takeOver(false)
+	h.run(2 * time.Second)
+	must.Eq(t, starts, h.cluster.Starts())
+	h.cluster.SetPartitioned("w00", false)
+	h.run(2 * time.Second)
+	h.checkViolations()
+	must.Eq(t, job.Done, h.state(late.ID))
+}
+
+// TestTasksOnSilentWorkersAreNotStartedTwice: a task runs on a worker that falls silent before
+// its owner is replaced. It must not start elsewhere before its lease has ended, or if the
+// worker is heard again.
+func TestTasksOnSilentWorkersAreNotStartedTwice(t *testing.T) {
+	for _, back := range []bool{true, false} {
+		h, id := newTakeoverHarness(t, "w00", longRunningStep())
+		h.run(2 * time.Second)
+		h.takeOver(false)
+		starts := h.cluster.Starts()
+		h.run(2 * time.Second)
+		must.Eq(t, starts, h.cluster.Starts())
+		h.cluster.SetPartitioned("w00", !back)
+		h.run(10 * time.Second)
+		h.checkViolations()
+		must.Eq(t, 1, h.cluster.Running(id))
+	}
+}
