Ask the limit of missing tasks before every voluntary stop

Only the moves of tasks without checkpoints asked for the limit. One method decides now for all of them.

TestCheckpointingTasksOfWaveKeepDisruptionLimit and TestLongRunningFillersKeepDisruptionLimit: two tasks are away at a time before, one now.

--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -144,7 +144,7 @@
 		if migrating >= p.shard.maxMigrating() {
 			break
 		}
-		if a.phase != running || !a.isLongRunning() || w.drainEnd == 0 && !a.task.step.disruptionAllowed() {
+		if a.phase != running || !a.isLongRunning() || !a.mayStop() {
 			continue
 		}
 		if !p.findDestination(a, d) {
@@ -156,6 +156,12 @@
 	return migrating
 }
 
+// mayStop reports whether a running attempt may be stopped for the sake of others. What runs on
+// a draining worker ends in any case.
+func (a *attempt) mayStop() bool {
+	return !a.isLongRunning() || a.worker.drainEnd != 0 || a.task.step.disruptionAllowed()
+}
+
 // disruptionAllowed reports whether one more task of a step may be stopped voluntarily:
 // its caller limits how many may be missing at a time.
 func (r *stepRun) disruptionAllowed() bool {
@@ -229,7 +235,7 @@
 		return
 	}
 	for _, a := range w.sortedAttempts() {
-		if a.phase == running && a.task != nil && a.task.step.spec.Checkpointing {
+		if a.phase == running && a.task != nil && a.task.step.spec.Checkpointing && a.mayStop() {
 			p.shard.stopAttempt(p.now, a, reasonDraining)
 		}
 	}
--- a/internal/scheduler/drain_test.go
+++ b/internal/scheduler/drain_test.go
@@ -173,6 +173,35 @@
 	h.checkViolations()
 }
 
+// TestCheckpointingTasksOfWaveKeepDisruptionLimit: tasks that last and write checkpoints were
+// stopped on all cordoned workers at once, however few their caller allows to be missing.
+func TestCheckpointingTasksOfWaveKeepDisruptionLimit(t *testing.T) {
+	h := newHarness(t, 6)
+	step := maxOnePerWorker(longRunningStep())
+	step.Tasks, step.MayMiss, step.Checkpointing = 3, 1, true
+	id := h.submit(firstID, nil, nil, step)
+	h.run(2 * time.Second)
+	var cordoned []platform.WorkerID
+	for i := range 6 {
+		if h.runningOn(i) > 0 {
+			cordoned = append(cordoned, workerInfo(i).ID)
+		}
+	}
+	must.Len(t, 3, cordoned)
+	h.shard.TakeNotes()
+	h.shard.SetCordoned(cordoned[:2])
+	for end := h.now + 10*time.Second; h.now < end; {
+		h.tick()
+		must.LessEq(t, 1, len(h.shard.TakeNotes().Stopped))
+		must.LessEq(t, 1, 3-h.cluster.Running(id))
+	}
+	for _, worker := range cordoned[:2] {
+		longRunning, batch := h.shard.CountAttempts(worker)
+		must.Zero(t, longRunning+batch)
+	}
+	h.checkViolations()
+}
+
 // TestCordonedWorkersGetNoTask cordons a worker: its resumable tasks must continue
 // elsewhere.
 func TestCordonedWorkersGetNoTask(t *testing.T) {
--- a/internal/scheduler/interference_test.go
+++ b/internal/scheduler/interference_test.go
@@ -401,3 +401,29 @@
 	h.run(2 * time.Second)
 	must.Eq(t, job.Done, h.state(id))
 }
+
+// TestLongRunningFillersKeepDisruptionLimit: fillers that last and write checkpoints were stopped
+// beside serving tasks over their targets, however few their caller allows to be missing.
+func TestLongRunningFillersKeepDisruptionLimit(t *testing.T) {
+	h := newHarness(t, 2)
+	degradedFrom, degradedUntil := h.now+10*time.Second, h.now+13*time.Second
+	h.cluster.SetInterference(func(_ *job.Step, fillers []cluster.Filler) float64 {
+		if len(fillers) > 0 && h.now > degradedFrom && h.now < degradedUntil {
+			return 1.5 * targetMS
+		}
+		return 10
+	})
+	h.submit(firstID, nil, nil, servingStep(6, "web"))
+	h.submit("00000000000000a2", fixedLength(0.7), nil, fillerStep(30, "quiet"))
+	h.run(6 * time.Second)
+	step := fillerStep(4, "quiet")
+	step.LongRunning, step.MayMiss = true, 1
+	id := h.submit("00000000000000a3", fixedLength(60), nil, step)
+	h.run(3 * time.Second)
+	must.Eq(t, 4, h.cluster.Running(id))
+	for range 200 {
+		h.tick()
+		must.LessEq(t, 1, 4-h.cluster.Running(id))
+	}
+	h.checkViolations()
+}
--- a/internal/scheduler/throttle.go
+++ b/internal/scheduler/throttle.go
@@ -190,7 +190,7 @@
 			continue
 		}
 		s.setCPUPercent(a, 0)
-		if a.task.step.spec.Checkpointing {
+		if a.task.step.spec.Checkpointing && a.mayStop() {
 			s.stopAttempt(now, a, reasonInterference)
 		}
 		changed = true
@@ -225,7 +225,7 @@
 		cut := min(cost, lacking)
 		lacking -= cut
 		percent := int(float64(a.cpuPercent) * (1 - cut/cost))
-		if percent < minThrottlePercent && a.task.step.spec.Checkpointing && a.phase == running {
+		if percent < minThrottlePercent && a.task.step.spec.Checkpointing && a.phase == running && a.mayStop() {
 			s.stopAttempt(now, a, reasonInterference)
 		} else {
 			s.setCPUPercent(a, percent)
