Extend no lease on a silent worker before the record that opens it

Tasks that may be running on a silent worker waited for up to 15.2 s after a change of owners if two thirds of the workers were lost: the owner before might have reached the worker again and extended its leases. It extends none now before the record that opens the worker is in the log, as it starts nothing there, so a new owner counts 5.2 s from when that record was in the log at the latest. A record that certainly is not in the log leaves the worker open.

TestNamedTaskWaitsForLeasesOfClosedWorker: 15.2 s before, 3.3 s after the change of owners now.

--- a/internal/process/dispatch/record.go
+++ b/internal/process/dispatch/record.go
@@ -160,6 +160,7 @@
 		// The tasks of a job that was cancelled must stop even if a later append fails.
 		d.OnRecorded(b.records[:n])
 	}
+	untouched := err != nil
 	for rest := b.records[n:]; err == nil && len(rest) > 0; rest = rest[n:] {
 		n = store.Fitting(rest, d.AppendBytes)
 		if err = d.appendRecords(w, rest[:n]); err == nil {
@@ -172,7 +173,7 @@
 		d.markRecorded(b.progress)
 	case errors.Is(err, store.ErrUnavailable):
 		d.mu.Lock()
-		d.shard.ReturnUnrecorded(b.progress)
+		d.shard.ReturnUnrecorded(b.progress, untouched)
 		d.mu.Unlock()
 		// An error means that the context is done, which ends the loop.
 		_ = pause.For(d.ctx, recordRetryDelay)
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -261,6 +261,7 @@
 		h.log[c.ID] = c.Progress
 	}
 	for _, e := range u.Enrolled {
+		e.SeenAt = h.now
 		h.enrolled[e.Worker] = e
 	}
 	for _, id := range u.Unenrolled {
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -154,10 +154,12 @@
 	// Lost are the attempts on the worker while it does not answer its owner: the next
 	// owner has to know of them if the run turns out to be over.
 	Lost []LostAttempt `cbor:"7,keyasint,omitempty"`
-	// Closed is set if the owner starts nothing on the worker before a later record of it is
-	// in the log. MayRun then names all tasks that may be running there.
+	// Closed is set if the owner starts nothing on the worker and extends no lease there before
+	// a later record of it is in the log. MayRun then names all tasks that may be running there.
 	Closed bool    `cbor:"8,keyasint,omitempty"`
 	MayRun TaskSet `cbor:"9,keyasint,omitempty"`
+	// SeenAt is when this host read the record, by its own clock.
+	SeenAt time.Duration `cbor:"-"`
 }
 
 // BitSet is a bit set of small non-negative numbers.
--- a/internal/scheduler/job/table.go
+++ b/internal/scheduler/job/table.go
@@ -208,6 +208,7 @@
 	if err := cbor.Unmarshal(value, &e); err != nil {
 		return fmt.Errorf("enrollment of worker %s: %w", id, err)
 	}
+	e.SeenAt = now
 	t.workers[id] = e
 	t.recordQuorum(now)
 	return nil
--- a/internal/scheduler/journal.go
+++ b/internal/scheduler/journal.go
@@ -63,6 +63,8 @@
 	Unenrolled []platform.WorkerID
 	// Models is set if the learned models have to be recorded.
 	Models bool
+	// closed are the workers that were closed for these records.
+	closed []*workerState
 	// Through is the number of the last change; it counts as recorded once the changes
 	// are in the log.
 	Through uint64
@@ -91,6 +93,9 @@
 			Claim: s.claim, Run: w.run, Lost: w.takeLost(),
 		}
 		if refs := s.mayRun(w); w.silentFor(s.now) >= closeDelay && len(refs) <= maxMayRun {
+			if !w.closed {
+				u.closed = append(u.closed, w)
+			}
 			w.closed, e.Closed, e.MayRun = true, true, refs
 		}
 		u.Enrolled = append(u.Enrolled, e)
@@ -112,10 +117,7 @@
 		// A worker whose record is to be deleted needs another one first.
 		if w, ok := s.workers[e.Worker]; ok && !s.journal.unenrolled[e.Worker] {
 			s.dirty.add(w)
-			w.enrolled, w.recordedRun = w.info.Addr.String() == e.Addr, e.Run
-			if !e.Closed {
-				w.closed = false
-			}
+			w.enrolled, w.recordedRun, w.closed = w.info.Addr.String() == e.Addr, e.Run, e.Closed
 			if e.Run == w.run {
 				w.enrolling = false
 			}
@@ -141,8 +143,12 @@
 }
 
 // ReturnUnrecorded returns changes to the journal that could not be appended to the
-// log.
-func (s *Shard) ReturnUnrecorded(u Unrecorded) {
+// log. untouched is set if none of the records is in the log, so that the workers that they
+// close can be used.
+func (s *Shard) ReturnUnrecorded(u Unrecorded, untouched bool) {
+	for _, w := range u.closed {
+		w.closed = !untouched
+	}
 	for _, c := range u.Changes {
 		s.journal.markDirty(c.job)
 	}
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -63,7 +63,7 @@
 		w.ended.sent = o.Acknowledged
 	}
 	if w.clock.known && sameRun {
-		if length := s.grantableLease(now); w.enrolled && length > 0 {
+		if length := s.grantableLease(now); w.enrolled && !w.closed && length > 0 {
 			o.LeaseEnd = w.clock.extendLease(now, length)
 		}
 		o.Wait = s.renewWait(w)
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -43,7 +43,7 @@
 		// would outlive the lease that this and later owners wait for.
 		s.handleRefusedStart(now, a)
 		return StartAction{}, false
-	case s.grantableLease(now) <= 0:
+	case a.worker.closed || s.grantableLease(now) <= 0:
 		s.handleRefusedStart(now, a)
 		return StartAction{}, false
 	case a.worker.entryOutdated() || a.worker.overcommitted() || !s.CapacitiesKnown(now):
--- a/internal/scheduler/shard_test.go
+++ b/internal/scheduler/shard_test.go
@@ -318,7 +318,7 @@
 	h.run(500 * time.Millisecond)
 	must.Zero(t, h.cluster.Running(id))
 	must.True(t, h.shard.Unacknowledged("w00"))
-	h.shard.ReturnUnrecorded(h.shard.TakeUnrecorded(h.now.Milliseconds()))
+	h.shard.ReturnUnrecorded(h.shard.TakeUnrecorded(h.now.Milliseconds()), true)
 	u := h.shard.TakeUnrecorded(h.now.Milliseconds())
 	must.Len(t, 1, u.Changes)
 	h.shard.MarkRecorded(u)
--- a/internal/scheduler/silent.go
+++ b/internal/scheduler/silent.go
@@ -22,9 +22,10 @@
 	return now - w.unresponsiveSince
 }
 
-// closeSilent records that nothing starts on a silent worker, so that the next owner has to
-// wait there only for what may be running, which the record names. The worker is used again
-// once a later record is in the log, so none is written while the log is out of reach.
+// closeSilent records that nothing starts on a silent worker and no lease is extended there,
+// so that the next owner has to wait only for what may be running, which the record names, and
+// only until its leases have run out. The worker is used again once a later record is in the
+// log, so none is written while the log is out of reach.
 func (s *Shard) closeSilent(now Instant, w *workerState) {
 	if w.closed || !w.enrolled || w.silentFor(now) < closeDelay || s.confirmationStale(now) || s.nearlyAllSilent() {
 		return
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -20,9 +20,9 @@
 //     it. Once more than a third has accepted a later token, some of these would refuse it.
 //   - Its leases end at most maxLeaseAfterProof after the later of that read and the time
 //     through which two thirds have answered it.
-//   - It extends leases only on workers that are enrolled under its claim. A worker
-//     that no owner has reached since can run only what the last owner to reach it has
-//     started there.
+//   - It extends leases only on workers that are enrolled under its claim, and not while
+//     their record is closed. A worker that no owner has reached since can run only what the
+//     last owner to reach it has started there.
 const (
 	// AuthorityWindow is the maximum age of an owner's proof of ownership without a
 	// quorum of workers. It is longer than two renew calls to a worker and than two
@@ -160,9 +160,13 @@
 
 // attemptsKnown reports whether every attempt that may run on a worker is tracked.
 func (s *Shard) attemptsKnown(now Instant, w *workerState) bool {
-	return w.reconciled || w.gone || s.takeover.leasesExpired(now, w.previousClaim)
+	return w.reconciled || w.gone || s.takeover.leasesExpired(now, w.previousClaim) || w.closedBefore(now-maxResidualLease)
 }
 
+// closedBefore reports whether the last owner to reach the worker had recorded by the given time
+// that it extends no lease there. This owner has read all that earlier ones could record.
+func (w *workerState) closedBefore(at Instant) bool { return w.onlyMayRun != nil && w.closedAt <= at }
+
 // countMayRun counts the workers that may run an untracked attempt of a task.
 func (s *Shard) countMayRun(now Instant, ref job.TaskRef) int {
 	n := 0
--- a/internal/scheduler/unheard_test.go
+++ b/internal/scheduler/unheard_test.go
@@ -98,3 +98,38 @@
 		must.Eq(t, 1, h.cluster.Running(id))
 	}
 }
+
+// TestNamedTaskWaitsForLeasesOfClosedWorker: two thirds of the workers had fallen silent before
+// their owner was replaced. A task on one of them waited for 15 s after the change of owners,
+// although its leases were not extended since.
+func TestNamedTaskWaitsForLeasesOfClosedWorker(t *testing.T) {
+	h, id := newTakeoverHarness(t, "w00", longRunningStep())
+	for _, worker := range []platform.WorkerID{"w01", "w02", "w03"} {
+		h.cluster.SetPartitioned(worker, true)
+	}
+	h.run(2 * time.Second)
+	h.takeOver(false)
+	must.Between(t, 2*time.Second, h.runUntilStart(20*time.Second), 4*time.Second)
+	h.checkViolations()
+	must.Eq(t, 1, h.cluster.Running(id))
+}
+
+// TestClosedWorkerGetsNoLease: the record that opens a worker again was not in the log yet, and
+// the next owner counts on the leases ending.
+func TestClosedWorkerGetsNoLease(t *testing.T) {
+	h, _ := newTakeoverHarness(t, "w00", longRunningStep())
+	h.run(time.Second)
+	h.recordingPaused = true
+	h.cluster.SetPartitioned("w00", false)
+	h.run(500 * time.Millisecond)
+	lease := func() platform.WorkerTime {
+		_, order, ok := h.shard.RenewOrder(h.now, "w00")
+		must.True(t, ok)
+		return order.LeaseEnd
+	}
+	must.Zero(t, lease())
+	h.recordingPaused = false
+	h.run(200 * time.Millisecond)
+	must.Positive(t, lease())
+	h.checkViolations()
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -26,8 +26,9 @@
 	// closed is set while the log may say that this owner starts nothing on the worker.
 	closed bool
 	// onlyMayRun holds the tasks that an earlier owner may have left running there if the log
-	// names them, else it is nil.
+	// names them, else it is nil. closedAt is when that record was in the log at the latest.
 	onlyMayRun job.TaskSet
+	closedAt   Instant
 	// registered is set while the worker has an entry in the platform's store.
 	registered bool
 	// drainEnd is the earliest time at which a draining worker may terminate, or zero.
@@ -179,7 +180,7 @@
 	s.takeover.enrolledWorkers++
 	s.journal.listed[e.Worker] = true
 	if e.Closed {
-		w.onlyMayRun = job.TaskSet{}
+		w.onlyMayRun, w.closedAt = job.TaskSet{}, e.SeenAt
 		maps.Copy(w.onlyMayRun, e.MayRun)
 	}
 	s.inheritLostRun(e)
