--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -15,7 +15,7 @@
 	// maxRenewWait is how long a worker may wait for an end before it answers a renew
 	// order. It also bounds the age of the last renewal.
 	maxRenewWait = 1200 * time.Millisecond
-	// enrollRenewWait applies until the worker's enrollment is in the log, which takes
+	// enrollRenewWait applies until the worker's enrollment is in the log and open, which takes
 	// about 50 ms; its leases can be extended only then.
 	enrollRenewWait = 250 * time.Millisecond
 	// absenceRenewWait applies until a new run of the worker has accepted the orders to stop
@@ -47,8 +47,8 @@
 
 // RenewOrder returns the next order that renews the leases of a worker and requests its
 // lists. It requests only the lists while the worker's clock is not known, while the
-// worker's enrollment is not in the log, while the worker may have restarted, and while it
-// is unresponsive: if each retry requested longer leases, they would never be known to have
+// worker's enrollment is not in the log or closed, while the worker may have restarted, and
+// while it is unresponsive: if each retry requested longer leases, they would never be known to have
 // expired.
 func (s *Shard) RenewOrder(now Instant, id platform.WorkerID) (fleet.Worker, fleet.RenewOrder, bool) {
 	w, ok := s.workers[id]
@@ -139,7 +139,7 @@
 	switch {
 	case !w.listsRead() || w.absenceDue() || w.listsLag() > maxListsLag:
 		return 0
-	case !w.enrolled:
+	case !w.enrolled || w.closed:
 		return enrollRenewWait
 	case w.absenceAwaited():
 		return absenceRenewWait
