Ownership records tell how long ago earlier owners were replaced

Cause: that an owner's leases have expired follows from when it was replaced. Hosts kept that in memory only, and the log only its last ownership record. An owner whose host had restarted knew one predecessor, and counted from its own record for each worker that had last been reached before.

The ownership record now lists up to 16 earlier owners with ages: how long ago each was replaced, had ended and had reached a quorum, when the record was encoded. Hosts of an earlier version ignore the list; without it the terms are unknown as before. While workers are unheard the record is written again each 2 s, and once when the wait is over: a host that reads it late would not know how old it is.

Why no wait is too short: an age is the time since the event was known to have happened, on the clock of one host that counts suspension, less 2% for clocks that differ. The record enters the log after it was encoded and is read after that, so the event is at least that old at the reader, which subtracts the age from its own reading; a late append or read only makes the derived time later. The owner that a first record replaces has age 0, since only this record ends its ownership, and counts from its append once that is answered. All of these are latest times, so the earlier of two, told and seen, is one too.

--- a/internal/process/dispatch/record.go
+++ b/internal/process/dispatch/record.go
@@ -119,8 +119,12 @@
 // recordOwnership writes the ownership record, which precedes all others of this owner.
 // While the store refuses it, callers' records fail instead of waiting.
 func (d *Dispatcher) recordOwnership(w *store.Writer) {
-	r, err := job.OwnershipRecord(d.Ownership)
+	var err error
 	for err == nil {
+		var r store.Record
+		if r, err = job.OwnershipRecord(d.Ownership, d.pastTerms()); err != nil {
+			break
+		}
 		if err = d.appendRecords(w, []store.Record{r}); !errors.Is(err, store.ErrUnavailable) {
 			break
 		}
@@ -135,6 +139,13 @@
 	d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) { s.ClaimRecorded(now) })
 }
 
+// pastTerms returns what an ownership record that is written now tells of earlier owners.
+func (d *Dispatcher) pastTerms() []job.PastTerm {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.shard.PastTerms(d.Clock())
+}
+
 // batch is what is recorded together. Callers' records come first and fit into one
 // append; the others may need further ones.
 type batch struct {
@@ -204,6 +215,7 @@
 		b.records = append(b.records, r)
 	}
 	d.addWorkerRecords(&b)
+	d.addOwnershipRecord(&b)
 	d.addExpiredRecords(&b)
 	if len(b.records) > 0 || b.progress.Models {
 		d.addLearnedState(&b)
@@ -257,6 +269,20 @@
 	}
 }
 
+// addOwnershipRecord adds the ownership record with the terms of earlier owners if the shard
+// demands it.
+func (d *Dispatcher) addOwnershipRecord(b *batch) {
+	if b.progress.PastTerms == nil {
+		return
+	}
+	r, err := job.OwnershipRecord(d.Ownership, b.progress.PastTerms)
+	if err != nil {
+		event.RecordNotEncoded.Log(d.Logger, logrus.Fields{"error": err})
+		return
+	}
+	b.records = append(b.records, r)
+}
+
 // markRecorded notifies the shard and waiting callers that progress is in the log.
 func (d *Dispatcher) markRecorded(progress scheduler.Unrecorded) {
 	d.mu.Lock()
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -177,7 +177,7 @@
 	own := job.Ownership{Host: n.Host, Addr: n.Peer.String(), Epoch: epoch, Claim: previous.Claim + 1, Standby: n.standby(), BoundsLeases: true}
 	d := dispatch.New(dispatch.Config{
 		Store: n.Store, Partition: n.partition, Workers: n.Workers, Advisor: n.Advisor, Clock: n.Clock, Logger: n.Logger, Metrics: n.Metrics,
-		Bounds: n.bounds(), Ownership: own, Predecessors: n.predecessors(), AppendBytes: n.AppendBytes,
+		Bounds: n.bounds(), Ownership: own, Predecessors: scheduler.Predecessors(n.table.Owners()), AppendBytes: n.AppendBytes,
 		OnRecorded:      n.applyRecords,
 		ExpiredRecords:  n.expiredRecords,
 		ConfirmationAge: n.SinceCaughtUp,
@@ -303,15 +303,6 @@
 	retentionSkew = 30 * time.Second
 )
 
-// predecessors returns the owners recorded so far, the latest one last.
-func (n *Node) predecessors() []scheduler.Predecessor {
-	var list []scheduler.Predecessor
-	for _, o := range n.table.Owners() {
-		list = append(list, scheduler.Predecessor{Claim: o.Claim, Released: o.Released, QuorumAt: o.QuorumAt, ReplacedAt: o.ReplacedAt, BoundsLeases: o.BoundsLeases})
-	}
-	return list
-}
-
 // releaseShard stops the dispatcher and the loops that run while the host owns the
 // shard.
 func (n *Node) releaseShard() {
--- a/internal/process/node/standby_test.go
+++ b/internal/process/node/standby_test.go
@@ -356,7 +356,7 @@
 	}
 	earlier := earlierOwnership{Host: "h", Addr: "127.0.0.1:1", Epoch: 3, Claim: 2}
 	current := job.Ownership{Host: "h", Addr: "127.0.0.1:1", Epoch: 3, Claim: 2, Standby: true}
-	r, err := job.OwnershipRecord(current)
+	r, err := job.OwnershipRecord(current, []job.PastTerm{{Claim: 1, ReplacedAge: time.Second}})
 	must.NoError(t, err)
 	var read earlierOwnership
 	must.NoError(t, cbor.Unmarshal(r.Value, &read))
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -116,7 +116,7 @@
 	h.quorumAt = 0
 	h.claim++
 	h.shard = scheduler.New(bounds, h.owner(), h.now, h.predecessors)
-	h.recordOwnership()
+	h.recordOwnership(h.shard.PastTerms(h.now))
 	h.shard.ClaimRecorded(h.now)
 	h.shard.OwnershipConfirmed(h.now)
 	h.shard.SetConfig(h.config)
@@ -135,9 +135,9 @@
 	return job.Ownership{Epoch: platform.Epoch(h.claim), Claim: h.claim, BoundsLeases: !h.earlierVersion}
 }
 
-// recordOwnership writes the record of the current owner.
-func (h *harness) recordOwnership() {
-	r, err := job.OwnershipRecord(h.owner())
+// recordOwnership writes the record of the current owner with the terms of earlier ones.
+func (h *harness) recordOwnership(past []job.PastTerm) {
+	r, err := job.OwnershipRecord(h.owner(), past)
 	must.NoError(h.t, err)
 	h.ownership = r
 }
@@ -154,11 +154,7 @@
 	table := job.NewTable()
 	_, err := table.Apply(page, h.now)
 	must.NoError(h.t, err)
-	var list []scheduler.Predecessor
-	for _, o := range table.Owners() {
-		list = append(list, scheduler.Predecessor{Claim: o.Claim, Released: o.Released, QuorumAt: o.QuorumAt, ReplacedAt: o.ReplacedAt, BoundsLeases: o.BoundsLeases})
-	}
-	return list
+	return scheduler.Predecessors(table.Owners())
 }
 
 // syncWorkers passes the workers' entries to the shard.
@@ -308,6 +304,9 @@
 	for _, id := range u.Unenrolled {
 		delete(h.enrolled, id)
 	}
+	if u.PastTerms != nil {
+		h.recordOwnership(u.PastTerms)
+	}
 	n := 0
 	for _, e := range h.enrolled {
 		if e.Claim == h.claim {
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -282,9 +282,6 @@
 	return kind == cancellationKey && len(r.Value) > 0
 }
 
-// OwnershipRecord returns the record of a shard's owner.
-func OwnershipRecord(o Ownership) (store.Record, error) { return encodeRecord(ownershipKey, o) }
-
 // EnrollmentRecord returns the record that enrolls a worker.
 func EnrollmentRecord(e Enrollment) (store.Record, error) {
 	return encodeRecord(enrollmentKey+string(e.Worker), e)
--- a/internal/scheduler/job/record_test.go
+++ b/internal/scheduler/job/record_test.go
@@ -84,6 +84,9 @@
 	f.Add("p"+string(jobID), []byte{0xa2, 0x01, 0x09, 0x06, 0x01})
 	f.Add("c"+string(jobID), []byte{1})
 	f.Add("owner", []byte{0xa1, 0x03, 0x02})
+	owner, err := job.OwnershipRecord(job.Ownership{Epoch: 3, Claim: 3}, []job.PastTerm{{Claim: 1, ReplacedAge: time.Second}, {Claim: 2}})
+	must.NoError(f, err)
+	f.Add(owner.Key, owner.Value)
 	f.Add("worker/i-1", []byte{0xa0})
 	f.Add("wave/7", []byte{0xa0})
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
--- a/internal/scheduler/job/table.go
+++ b/internal/scheduler/job/table.go
@@ -40,7 +40,7 @@
 	// quorumAt is when this host saw that a quorum of the workers had accepted the
 	// current owner's token, or zero.
 	quorumAt time.Duration
-	// pastOwners holds the terms of earlier owners, oldest first.
+	// pastOwners holds the terms of earlier owners, sorted by claim.
 	pastOwners []OwnershipTerm
 	// workers holds the enrolled workers: those on which tasks may run.
 	workers       map[platform.WorkerID]Enrollment
@@ -139,36 +139,26 @@
 }
 
 func (t *Table) applyOwnership(value []byte, now time.Duration) error {
-	var o Ownership
-	if err := cbor.Unmarshal(value, &o); err != nil {
-		return fmt.Errorf("ownership: %w", err)
+	o, past, err := decodeOwnership(value)
+	if err != nil {
+		return err
 	}
 	switch {
 	case o.Epoch > t.owner.Epoch:
 		if t.owner.Claim > 0 {
 			t.pastOwners = append(t.pastOwners, OwnershipTerm{Ownership: t.owner, QuorumAt: t.quorumAt, ReplacedAt: now})
-		}
-		if extra := len(t.pastOwners) - maxPastOwners; extra > 0 {
-			t.pastOwners = slices.Delete(t.pastOwners, 0, extra)
+			t.limitPastOwners()
 		}
 		t.owner, t.quorumAt = o, 0
 	case o.Epoch == t.owner.Epoch && !t.owner.Released:
 		t.owner = o
+	default:
+		return nil
 	}
+	t.addTerms(past, now)
 	return nil
 }
 
-// OwnershipTerm is the period in which one host has owned the shard.
-type OwnershipTerm struct {
-	Ownership
-	// QuorumAt is when this host, by its own clock, saw that a quorum of the enrolled
-	// workers had accepted the owner's fencing token. It is zero before that.
-	QuorumAt time.Duration
-	// ReplacedAt is when this host, by its own clock, saw the record of the next owner.
-	// The record itself may be older. It is zero for the current owner.
-	ReplacedAt time.Duration
-}
-
 // IsQuorum reports whether n of all workers are a quorum: two thirds, so that any two
 // quorums have a third of all workers in common.
 func IsQuorum(n, all int) bool { return 3*n >= 2*all }
@@ -190,12 +180,8 @@
 	}
 }
 
-// maxPastOwners limits the earlier owners that are kept. Leases and orders of an owner
-// have expired long before so many others have followed it.
-const maxPastOwners = 16
-
-// Owners returns the terms of the owners that this host has seen, oldest first. The
-// current owner's term is the last.
+// Owners returns the terms of the owners that this host has seen, or that the record of a
+// later one tells of, oldest first. The current owner's term is the last.
 func (t *Table) Owners() []OwnershipTerm {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
--- a/internal/scheduler/journal.go
+++ b/internal/scheduler/journal.go
@@ -63,6 +63,9 @@
 	Unenrolled []platform.WorkerID
 	// Models is set if the learned models have to be recorded.
 	Models bool
+	// PastTerms are the terms of earlier owners if the ownership record has to be written again
+	// with them, or nil. They need not be returned if that fails.
+	PastTerms []job.PastTerm
 	// Through is the number of the last change; it counts as recorded once the changes
 	// are in the log.
 	Through uint64
@@ -77,7 +80,7 @@
 // TakeUnrecorded returns the changes that have to be recorded and removes them from the
 // journal. nowMS is the time of day in Unix milliseconds.
 func (s *Shard) TakeUnrecorded(nowMS int64) Unrecorded {
-	u := Unrecorded{Through: s.journal.lastChange, Models: s.journal.models}
+	u := Unrecorded{Through: s.journal.lastChange, Models: s.journal.models, PastTerms: s.takePastTerms(s.now)}
 	for id, j := range s.journal.dirty {
 		if j.progress.State.Final() && j.progress.EndedMS == 0 {
 			j.progress.EndedMS = nowMS
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -59,6 +59,70 @@
 	BoundsLeases bool
 }
 
+// Predecessors returns the owners with the given terms, which are sorted by claim.
+func Predecessors(terms []job.OwnershipTerm) []Predecessor {
+	list := make([]Predecessor, 0, len(terms))
+	for _, o := range terms {
+		list = append(list, Predecessor{
+			Claim: o.Claim, Released: o.Released, BoundsLeases: o.BoundsLeases,
+			QuorumAt: o.QuorumAt, ReplacedAt: o.ReplacedAt, EndedAt: o.EndedAt,
+		})
+	}
+	return list
+}
+
+// PastTerms returns what this owner's record tells of earlier owners if it is encoded at the
+// time now. It may be written any time later.
+func (s *Shard) PastTerms(now Instant) []job.PastTerm {
+	t := &s.takeover
+	recent := t.predecessors[max(0, len(t.predecessors)-job.MaxPastTerms):]
+	terms := make([]job.PastTerm, len(recent))
+	var replaced time.Duration
+	for i, p := range slices.Backward(recent) {
+		terms[i] = job.PastTerm{Claim: p.Claim, Released: p.Released, BoundsLeases: p.BoundsLeases}
+		if i < len(recent)-1 {
+			replaced = max(replaced, certainAge(now, p.ReplacedAt))
+		} else if t.claimRecordedAt != 0 {
+			replaced = certainAge(now, t.claimRecordedAt)
+		}
+		terms[i].ReplacedAge = replaced
+		if p.QuorumAt != 0 {
+			terms[i].QuorumAge = certainAge(now, p.QuorumAt)
+		}
+		if p.EndedAt != 0 {
+			terms[i].EndedAge = certainAge(now, p.EndedAt)
+		}
+	}
+	return terms
+}
+
+// certainAge returns how long ago the time at is on any host's clock, at least. Clocks may
+// differ by 2%.
+func certainAge(now, at Instant) time.Duration {
+	return min(max(0, now-at), job.MaxTermAge) * 98 / 100
+}
+
+// pastTermsPeriod is the time between two ownership records that tell later owners how long ago
+// earlier ones were replaced. It bounds what a host does not learn that reads the last one late.
+const pastTermsPeriod = 2 * time.Second
+
+// takePastTerms returns the terms of earlier owners if they have to be recorded again, else
+// nil. They matter for as long as tasks may be running on workers that this owner has not heard,
+// and once more afterwards, so that no later owner waits for these again.
+func (s *Shard) takePastTerms(now Instant) []job.PastTerm {
+	t := &s.takeover
+	due := max(t.claimRecordedAt, t.termsTakenAt) + pastTermsPeriod
+	if len(t.predecessors) == 0 || t.claimRecordedAt == 0 || t.termsFinal || now < due {
+		return nil
+	}
+	t.termsFinal = t.unheardNotes.ended
+	if t.termsFinal && t.termsTakenAt == 0 {
+		return nil
+	}
+	t.termsTakenAt = now
+	return s.PastTerms(now)
+}
+
 // takeover tracks what earlier owners may have left running.
 type takeover struct {
 	// predecessors are the known earlier owners, sorted by claim. This owner replaced
@@ -74,6 +138,10 @@
 	// reconciledWorkers those of them that have answered.
 	enrolledWorkers, reconciledWorkers int
 	unheardNotes                       unheardNotes
+	// termsTakenAt is when the terms of earlier owners were last taken to be recorded again.
+	// termsFinal is set once they need not be any more.
+	termsTakenAt Instant
+	termsFinal   bool
 }
 
 // PredecessorEnded records that the owner with the given claim has sent its last order: its
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -410,3 +410,33 @@
 	must.Between(t, scheduler.AuthorityBound+5*time.Second, h.runUntilStart(30*time.Second), 16*time.Second)
 	h.checkViolations()
 }
+
+// TestRestartedHostsEndNoWait: each owner is replaced after 4.5 s by one whose host has just
+// restarted. It did not know since when the owners before the last one had been replaced, so
+// tasks that may run on a worker that none of them reaches waited anew under each of them.
+func TestRestartedHostsEndNoWait(t *testing.T) {
+	cases := map[string]struct {
+		partitioned []platform.WorkerID
+		limit       time.Duration
+	}{
+		"quorum":    {nil, 12 * time.Second},
+		"no quorum": {[]platform.WorkerID{"w01", "w02", "w03"}, 25 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h, _ := newTakeoverHarness(t, "w00", longRunningStep())
+			for _, id := range c.partitioned {
+				h.cluster.SetPartitioned(id, true)
+			}
+			h.restartedHosts = true
+			began, starts := h.now, h.cluster.Starts()
+			for h.cluster.Starts() == starts && h.now < began+60*time.Second {
+				h.takeOver(false)
+				h.runUntilStart(4500 * time.Millisecond)
+			}
+			t.Log(h.now - began)
+			must.Less(t, c.limit, h.now-began)
+			h.checkViolations()
+		})
+	}
+}
