Later owners learn when an earlier one had lost its quorum

Callers' tasks waited up to 15.2 s from the first of a chain of quick changes of owners although the second owner had reached over a third of the workers, which bounds the first one's leases to 5.5 s from then. Only the second owner used that, and it was replaced before.

The terms in its record, which is written again each 2 s while workers are unheard, now hold the age of that succession; later owners end the wait for workers last reached by the first owner 5.5 s after it.

It says something of the owner directly before only, whose set of workers it was counted on, and only if that owner bounds its leases. It counts from the later of the succession and the record in the log, like at the second owner itself; ages are as safe as those of replacements.

TestRestartedHostsEndNoWait (an owner each 4.5 s): 10.6 s with a quorum and 17.2 s with half of the workers before, now 6.15 s both; 17.2 s without a succession, as before. TestSuccessionEndsItsOwnerOnly fails at 9.65 s if it counts for other owners, and for owners of the earlier version without the flag. TestOwnerThatActsOnIsNotOvertaken: the first owner goes on renewing leases on two thirds of the workers while restarted hosts follow each other each 2.5 to 6 s; its task runs for 14.95 s, none of the others starts it before, and it is started again 15.6 to 23.3 s after the first change. With ages 3 s too high the test fails.

--- a/internal/scheduler/job/term.go
+++ b/internal/scheduler/job/term.go
@@ -23,6 +23,9 @@
 	// Released and BoundsLeases are as in Ownership.
 	Released     bool `cbor:"5,keyasint,omitempty"`
 	BoundsLeases bool `cbor:"6,keyasint,omitempty"`
+	// SuccessionAge is the age of the time from which on the owner had no quorum, since too many
+	// of its workers had accepted the token of the next one. It is zero if that is not known.
+	SuccessionAge time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 const (
@@ -49,6 +52,9 @@
 	// EndedAt is a time, by this host's own clock, by which the owner had sent its last order,
 	// or zero.
 	EndedAt time.Duration
+	// SuccessionAt is a time, by this host's own clock, from which on the owner had no quorum,
+	// or zero. Only the next owner's record tells it.
+	SuccessionAt time.Duration
 }
 
 // ownershipValue is the value of an ownership record.
@@ -87,7 +93,7 @@
 	}
 	earlier, age := uint32(0), MaxTermAge
 	for _, p := range past {
-		for _, a := range []time.Duration{p.QuorumAge, p.EndedAge} {
+		for _, a := range []time.Duration{p.QuorumAge, p.EndedAge, p.SuccessionAge} {
 			if a < 0 || a > MaxTermAge {
 				return false
 			}
@@ -112,6 +118,7 @@
 		o.Released, o.BoundsLeases = o.Released || p.Released, o.BoundsLeases || p.BoundsLeases
 		o.ReplacedAt = min(o.ReplacedAt, now-p.ReplacedAge)
 		o.QuorumAt, o.EndedAt = earlierOf(o.QuorumAt, now, p.QuorumAge), earlierOf(o.EndedAt, now, p.EndedAge)
+		o.SuccessionAt = earlierOf(o.SuccessionAt, now, p.SuccessionAge)
 	}
 	t.limitPastOwners()
 }
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -54,6 +54,9 @@
 	Released bool
 	// EndedAt is when the owner was known to have sent its last order, or zero.
 	EndedAt Instant
+	// SuccessionAt is the latest time by which more than a third of the workers that the owner had
+	// enrolled had accepted the next one's token, or zero.
+	SuccessionAt Instant
 	// BoundsLeases is set if the owner's leases end at most maxLeaseAfterProof after its last
 	// proof of ownership.
 	BoundsLeases bool
@@ -65,7 +68,7 @@
 	for _, o := range terms {
 		list = append(list, Predecessor{
 			Claim: o.Claim, Released: o.Released, BoundsLeases: o.BoundsLeases,
-			QuorumAt: o.QuorumAt, ReplacedAt: o.ReplacedAt, EndedAt: o.EndedAt,
+			QuorumAt: o.QuorumAt, ReplacedAt: o.ReplacedAt, EndedAt: o.EndedAt, SuccessionAt: o.SuccessionAt,
 		})
 	}
 	return list
@@ -77,20 +80,24 @@
 	t := &s.takeover
 	recent := t.predecessors[max(0, len(t.predecessors)-job.MaxPastTerms):]
 	terms := make([]job.PastTerm, len(recent))
+	age := func(at Instant) time.Duration {
+		if at == 0 {
+			return 0
+		}
+		return certainAge(now, at)
+	}
 	var replaced time.Duration
 	for i, p := range slices.Backward(recent) {
-		terms[i] = job.PastTerm{Claim: p.Claim, Released: p.Released, BoundsLeases: p.BoundsLeases}
-		if i < len(recent)-1 {
-			replaced = max(replaced, certainAge(now, p.ReplacedAt))
-		} else if t.claimRecordedAt != 0 {
-			replaced = certainAge(now, t.claimRecordedAt)
-		}
-		terms[i].ReplacedAge = replaced
-		if p.QuorumAt != 0 {
-			terms[i].QuorumAge = certainAge(now, p.QuorumAt)
+		if i == len(recent)-1 {
+			p.ReplacedAt, p.SuccessionAt = t.claimRecordedAt, 0
+			if t.claimRecordedAt != 0 && t.successionAt != 0 {
+				p.SuccessionAt = max(t.successionAt, t.claimRecordedAt)
+			}
 		}
-		if p.EndedAt != 0 {
-			terms[i].EndedAge = certainAge(now, p.EndedAt)
+		replaced = max(replaced, age(p.ReplacedAt))
+		terms[i] = job.PastTerm{
+			Claim: p.Claim, Released: p.Released, BoundsLeases: p.BoundsLeases, ReplacedAge: replaced,
+			QuorumAge: age(p.QuorumAt), EndedAge: age(p.EndedAt), SuccessionAge: age(p.SuccessionAt),
 		}
 	}
 	return terms
@@ -198,6 +205,9 @@
 		if p.Claim < claim {
 			continue
 		}
+		if p.Claim == claim && bounded && p.SuccessionAt != 0 && now >= p.SuccessionAt+maxLeaseAfterSuccession {
+			return true
+		}
 		end := p.ReplacedAt
 		if i == last {
 			end = t.claimRecordedAt
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -419,7 +419,8 @@
 		partitioned []platform.WorkerID
 		limit       time.Duration
 	}{
-		"quorum":    {nil, 12 * time.Second},
+		"quorum":    {nil, 7 * time.Second},
+		"half":      {[]platform.WorkerID{"w01", "w02"}, 7 * time.Second},
 		"no quorum": {[]platform.WorkerID{"w01", "w02", "w03"}, 25 * time.Second},
 	}
 	for name, c := range cases {
@@ -440,3 +441,33 @@
 		})
 	}
 }
+
+// TestSuccessionEndsItsOwnerOnly: the third owner has reached so many workers that the second has
+// no quorum left. That says nothing of the first one, which more than two thirds still obeyed, nor
+// of an owner of a version that does not bound its leases.
+func TestSuccessionEndsItsOwnerOnly(t *testing.T) {
+	for name, earlierVersion := range map[string]bool{"owner before": false, "earlier version": true} {
+		t.Run(name, func(t *testing.T) {
+			h, _ := newTakeoverHarness(t, "w00", longRunningStep())
+			h.restartedHosts, h.earlierVersion = true, earlierVersion
+			h.recordOwnership(nil)
+			lost := []platform.WorkerID{"w01", "w02", "w03"}
+			if earlierVersion {
+				lost = lost[:2]
+			}
+			for _, id := range lost {
+				h.cluster.SetPartitioned(id, true)
+			}
+			began := h.now
+			h.takeOver(false)
+			h.run(3 * time.Second)
+			h.cluster.SetPartitioned("w03", false)
+			h.takeOver(false)
+			h.run(5 * time.Second)
+			h.takeOver(false)
+			h.runUntilStart(30 * time.Second)
+			must.Between(t, scheduler.AuthorityBound+5*time.Second, h.now-began, 19*time.Second)
+			h.checkViolations()
+		})
+	}
+}
--- a/internal/scheduler/terms_test.go
+++ b/internal/scheduler/terms_test.go
@@ -49,7 +49,7 @@
 			clocks[i], tables[i] = newClock(), job.NewTable()
 		}
 		now := time.Minute
-		replaced := map[uint32]time.Duration{}
+		replaced, ended := map[uint32]time.Duration{}, map[uint32]time.Duration{}
 		var newest store.Record
 		read := func(i int) {
 			if newest.Key == "" {
@@ -61,6 +61,9 @@
 				if at, ok := replaced[o.Claim]; ok && clocks[i].trueTime(o.ReplacedAt) < at-time.Microsecond {
 					t.Fatalf("seed %d: owner %d was replaced at %v, a host assumes %v", seed, o.Claim, at, clocks[i].trueTime(o.ReplacedAt))
 				}
+				if o.EndedAt != 0 && clocks[i].trueTime(o.EndedAt) < ended[o.Claim]-time.Microsecond {
+					t.Fatalf("seed %d: owner %d had ended at %v, a host assumes %v", seed, o.Claim, ended[o.Claim], clocks[i].trueTime(o.EndedAt))
+				}
 			}
 		}
 		for claim := uint32(1); claim < 30; claim++ {
@@ -86,6 +89,12 @@
 					replaced[claim-1] = now
 				}
 				s.ClaimRecorded(clocks[host].at(now))
+				if random.IntN(3) == 0 {
+					if _, ok := ended[claim-1]; !ok {
+						ended[claim-1] = now
+					}
+					s.PredecessorEnded(clocks[host].at(now), claim-1)
+				}
 				now += lag(2 * time.Second)
 				read(random.IntN(hosts))
 				now += upTo(2 * time.Second)
@@ -93,3 +102,54 @@
 		}
 	}
 }
+
+// TestOwnerThatActsOnIsNotOvertaken: the first owner loses the log and the later ones, but still
+// reaches two thirds of the workers and renews their leases for as long as it may. Later owners
+// whose hosts restart must not start its task again while it runs, nor wait for longer than once.
+func TestOwnerThatActsOnIsNotOvertaken(t *testing.T) {
+	for _, period := range []time.Duration{2500 * time.Millisecond, 3 * time.Second, 4500 * time.Millisecond, 6 * time.Second} {
+		t.Run(period.String(), func(t *testing.T) {
+			h, id := newTakeoverHarness(t, "w00", longRunningStep())
+			h.restartedHosts = true
+			first, confirmedAt := h.shard, h.now
+			reached := []platform.WorkerID{"w00", "w01", "w02", "w03"}
+			partition := func(p bool) {
+				for _, w := range reached {
+					h.cluster.SetPartitioned(w, p)
+				}
+			}
+			actOn := func() {
+				partition(false)
+				defer partition(true)
+				first.Plan(h.now, h.now.Milliseconds(), 0)
+				age := h.now - confirmedAt
+				if age > scheduler.AuthorityBound || age > scheduler.AuthorityWindow && !first.HasQuorum(h.now) {
+					return
+				}
+				for _, w := range reached {
+					_, order, ok := first.RenewOrder(h.now, w)
+					must.True(t, ok)
+					lists, answered := h.cluster.Renew(h.now, w, order)
+					must.True(t, answered)
+					first.RenewAnswered(h.now, h.now, w, lists)
+				}
+			}
+			partition(true)
+			began, starts, runningUntil := h.now, h.cluster.Starts(), h.now
+			for h.cluster.Starts() == starts && h.now < began+60*time.Second {
+				h.takeOver(false)
+				for end := h.now + period; h.now < end && h.cluster.Starts() == starts; {
+					if h.cluster.Running(id) == 1 {
+						runningUntil = h.now
+					}
+					h.tick()
+					actOn()
+				}
+			}
+			t.Log(runningUntil-began, h.now-began)
+			h.checkViolations()
+			must.Between(t, 12*time.Second, runningUntil-began, scheduler.AuthorityBound+6*time.Second)
+			must.Between(t, runningUntil-began, h.now-began, 40*time.Second)
+		})
+	}
+}
