--- a/internal/scheduler/journal.go
+++ b/internal/scheduler/journal.go
@@ -65,6 +65,9 @@
 	Models bool
 	// closed are the workers that were closed for these records.
 	closed []*workerState
+	// PastTerms are the terms of earlier owners if the ownership record has to be written again
+	// with them, or nil. They need not be returned if that fails.
+	PastTerms []job.PastTerm
 	// Through is the number of the last change; it counts as recorded once the changes
 	// are in the log.
 	Through uint64
@@ -79,7 +82,7 @@
 // TakeUnrecorded returns the changes that have to be recorded and removes them from the
 // journal. nowMS is the time of day in Unix milliseconds.
 func (s *Shard) TakeUnrecorded(nowMS int64) Unrecorded {
-	u := Unrecorded{Through: s.journal.lastChange, Models: s.journal.models}
+	u := Unrecorded{Through: s.journal.lastChange, Models: s.journal.models, PastTerms: s.takePastTerms(s.now)}
 	for id, j := range s.journal.dirty {
 		if j.progress.State.Final() && j.progress.EndedMS == 0 {
 			j.progress.EndedMS = nowMS
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -389,3 +389,85 @@
 		})
 	}
 }
+
+// TestLoadedPartOfWorkersIsNoQuorum: the second owner reached two of six workers, of which one is
+// the first in the log. The host of the third one had restarted and took it for a quorum: it
+// started a task again after 7.75 s, while the first owner may act for 10 s and its leases last.
+func TestLoadedPartOfWorkersIsNoQuorum(t *testing.T) {
+	h := newHarness(t, 6)
+	h.run(200 * time.Millisecond)
+	h.cordonAllBut("w02")
+	h.submit(firstID, fixedLength(100), nil, longRunningStep())
+	h.run(400 * time.Millisecond)
+	h.cordonAllBut("")
+	for _, id := range []platform.WorkerID{"w02", "w03", "w04", "w05"} {
+		h.cluster.SetPartitioned(id, true)
+	}
+	h.takeOver(false)
+	h.run(time.Second)
+	h.restartedHosts = true
+	h.takeOver(false)
+	must.Between(t, scheduler.AuthorityBound+5*time.Second, h.runUntilStart(30*time.Second), 16*time.Second)
+	h.checkViolations()
+}
+
+// TestRestartedHostsEndNoWait: each owner is replaced after 4.5 s by one whose host has just
+// restarted. It did not know since when the owners before the last one had been replaced, so
+// tasks that may run on a worker that none of them reaches waited anew under each of them.
+func TestRestartedHostsEndNoWait(t *testing.T) {
+	cases := map[string]struct {
+		partitioned []platform.WorkerID
+		limit       time.Duration
+	}{
+		"quorum":    {nil, 7 * time.Second},
+		"half":      {[]platform.WorkerID{"w01", "w02"}, 7 * time.Second},
+		"no quorum": {[]platform.WorkerID{"w01", "w02", "w03"}, 25 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h, _ := newTakeoverHarness(t, "w00", longRunningStep())
+			for _, id := range c.partitioned {
+				h.cluster.SetPartitioned(id, true)
+			}
+			h.restartedHosts = true
+			began, starts := h.now, h.cluster.Starts()
+			for h.cluster.Starts() == starts && h.now < began+60*time.Second {
+				h.takeOver(false)
+				h.runUntilStart(4500 * time.Millisecond)
+			}
+			t.Log(h.now - began)
+			must.Less(t, c.limit, h.now-began)
+			h.checkViolations()
+		})
+	}
+}
+
+// TestSuccessionEndsItsOwnerOnly: the third owner has reached so many workers that the second has
+// no quorum left. That says nothing of the first one, which more than two thirds still obeyed, nor
+// of an owner of a version that does not bound its leases.
+func TestSuccessionEndsItsOwnerOnly(t *testing.T) {
+	for name, earlierVersion := range map[string]bool{"owner before": false, "earlier version": true} {
+		t.Run(name, func(t *testing.T) {
+			h, _ := newTakeoverHarness(t, "w00", longRunningStep())
+			h.restartedHosts, h.earlierVersion = true, earlierVersion
+			h.recordOwnership(nil)
+			lost := []platform.WorkerID{"w01", "w02", "w03"}
+			if earlierVersion {
+				lost = lost[:2]
+			}
+			for _, id := range lost {
+				h.cluster.SetPartitioned(id, true)
+			}
+			began := h.now
+			h.takeOver(false)
+			h.run(3 * time.Second)
+			h.cluster.SetPartitioned("w03", false)
+			h.takeOver(false)
+			h.run(5 * time.Second)
+			h.takeOver(false)
+			h.runUntilStart(30 * time.Second)
+			must.Between(t, scheduler.AuthorityBound+5*time.Second, h.now-began, 19*time.Second)
+			h.checkViolations()
+		})
+	}
+}
