--- a/internal/experiment/day/callers.go
+++ b/internal/experiment/day/callers.go
@@ -40,6 +40,8 @@
 	submission *job.Submission
 	// longRunning is set if the job runs until its caller cancels it.
 	longRunning bool
+	// longStay is added to the time after which the caller cancels a long-running job.
+	longStay time.Duration
 	// crashing is set if tasks of the job crash the workers that start them, and leaves if the
 	// caller leaves before its submission is answered, and cancels the job.
 	crashing   bool
@@ -60,7 +62,10 @@
 // newCaller draws a job and registers its task durations and failures with the
 // simulated workers.
 func newCaller(sim *simulation, number int, p Plan, random *rand.Rand) *caller {
-	c := &caller{sim: sim, random: random, id: job.ID(fmt.Sprintf("%016x", number))}
+	c := &caller{
+		sim: sim, random: random, id: job.ID(fmt.Sprintf("%016x", number)),
+		longStay: time.Duration(p.LongRunningStaySeconds) * time.Second,
+	}
 	spec := job.Spec{Payload: "job " + string(c.id)}
 	spec.Payload += strings.Repeat(".", max(0, p.PayloadBytes-len(spec.Payload)))
 	if c.longRunning = p.LongRunningShare > 0 && random.Float64() < p.LongRunningShare; c.longRunning {
@@ -171,7 +176,7 @@
 	case c.colocation.stay > 0:
 		cancelAt = c.sim.now() + c.colocation.stay
 	case c.longRunning:
-		cancelAt = c.sim.now() + minStay + time.Duration(c.random.Int64N(int64(maxStay-minStay)))
+		cancelAt = c.sim.now() + c.longStay + minStay + time.Duration(c.random.Int64N(int64(maxStay-minStay)))
 	case c.random.Float64() < cancelShare:
 		cancelAt = c.sim.now() + time.Duration(c.random.Int64N(int64(2*time.Second)))
 	}
--- a/internal/experiment/day/day.go
+++ b/internal/experiment/day/day.go
@@ -33,6 +33,8 @@
 	PayloadBytes int `json:"payload_bytes,omitempty"`
 	// LongRunningShare is the fraction of jobs that run until their callers cancel them.
 	LongRunningShare float64 `json:"long_running_share,omitempty"`
+	// LongRunningStaySeconds is added to the time after which their callers cancel them.
+	LongRunningStaySeconds int `json:"long_running_stay_seconds,omitempty"`
 	// ServingShare is the fraction of jobs whose tasks serve users, until their callers
 	// cancel them after ServingStaySeconds or up to half as long again. Their latency without
 	// fillers swings between ServingLoadLow and ServingLoadHigh, as shares of their target.
@@ -80,6 +82,9 @@
 	Waiting []string
 	// WaitingAtEnd are those of Waiting that go on finishTime after the last submission.
 	WaitingAtEnd []string
+	// WaitingAtFinish are the tasks that had waited finishTime after the last submission,
+	// whatever faults were active then.
+	WaitingAtFinish []string
 	// LongestWait is the longest time for which a task waited although it could run, at any
 	// load. For batch tasks there is no bound on it while half of the processors are in use.
 	LongestWait IdleWait
@@ -164,6 +169,7 @@
 	r := summarize(sim, callers)
 	r.Violations = append(r.Violations, staleDeclarations...)
 	r.Waiting, r.WaitingAtEnd, r.LongestWait = waiting.violations, waiting.atEnd, waiting.longest
+	r.WaitingAtFinish = waiting.atFinish
 	r.Faults = faults
 	for _, f := range faults {
 		at := startupTime + time.Duration(f.AtMS)*time.Millisecond
@@ -172,15 +178,24 @@
 	return r, nil
 }
 
+// callerGaps draws the times between the callers, and from the last one to the end of traffic.
+func callerGaps(p Plan, random *rand.Rand) []time.Duration {
+	gaps := make([]time.Duration, int(float64(p.Seconds)*p.JobsPerSecond))
+	for i := range gaps {
+		gaps[i] = time.Duration(random.ExpFloat64() / p.JobsPerSecond * float64(time.Second))
+	}
+	return gaps
+}
+
 // runCallers starts callers at random intervals, then waits until all have finished.
 func (sim *simulation) runCallers(ctx context.Context, p Plan, random *rand.Rand) []*caller {
 	var callers []*caller
 	var done sync.WaitGroup
-	for number := range int(float64(p.Seconds) * p.JobsPerSecond) {
+	for number, gap := range callerGaps(p, random) {
 		c := newCaller(sim, number+1, p, rand.New(rand.NewPCG(p.Seed, uint64(number+1))))
 		callers = append(callers, c)
 		done.Go(func() { c.run(ctx) })
-		time.Sleep(time.Duration(random.ExpFloat64() / p.JobsPerSecond * float64(time.Second)))
+		time.Sleep(gap)
 	}
 	sim.trafficEndedAt.Store(int64(sim.now()))
 	done.Wait()
--- a/internal/experiment/day/faults.go
+++ b/internal/experiment/day/faults.go
@@ -58,6 +58,21 @@
 	ShrinkWorker Kind = "shrink_worker"
 	// ShrinkWorkers is ShrinkWorker for the first third of the workers.
 	ShrinkWorkers Kind = "shrink_workers"
+	// AddWorkers adds a share of the workers that there are.
+	AddWorkers Kind = "add_workers"
+	// CutWorkers partitions a share of the workers from all hosts.
+	CutWorkers Kind = "cut_workers"
+	// DarkenWorkers crashes a share of the workers and restarts them after the fault's duration.
+	DarkenWorkers Kind = "darken_workers"
+	// LoseWorkers ends a share of the workers and their machines permanently.
+	LoseWorkers Kind = "lose_workers"
+	// SilenceWorkers: a share of the workers carries out orders without answering.
+	SilenceWorkers Kind = "silence_workers"
+	// LoseHost kills the program on a host, which does not restart.
+	LoseHost Kind = "lose_host"
+	// StallHost partitions a host from the other hosts and from the store. The orders that it
+	// sends reach the workers once the fault is over, like those of a frozen process.
+	StallHost Kind = "stall_host"
 	// OddEntries: other writers replace the entry of a worker for the fault's duration, and
 	// those of all workers in turns for a short time, by unreadable ones and by ones of another
 	// address, and add entries of workers that do not exist.
@@ -73,7 +88,10 @@
 // capacityKinds are the kinds that DrawReductions draws from.
 var capacityKinds = []Kind{ShrinkWorker, ShrinkWorkers}
 
-var allKinds = slices.Concat(randomKinds, capacityKinds, []Kind{OddEntries, SlowWorkers})
+var allKinds = slices.Concat(randomKinds, capacityKinds, []Kind{OddEntries, SlowWorkers}, lossKinds)
+
+// lossKinds are the kinds that act on a share of the workers, or on owners besides.
+var lossKinds = []Kind{AddWorkers, CutWorkers, DarkenWorkers, LoseWorkers, SilenceWorkers, LoseHost, StallHost}
 
 // Fault is one fault of a plan.
 type Fault struct {
@@ -88,10 +106,13 @@
 	// CapacityPercent is the capacity that shrink_worker and shrink_workers leave, in
 	// percent of the whole.
 	CapacityPercent int64 `json:"capacity_percent,omitempty"`
-	// WorkersPercent is the share of the workers that slow_workers slows down, and Slowness
-	// the factor by which it lengthens their work and the latency of their serving tasks.
+	// WorkersPercent is the share of the workers that kinds for a share act on. Slowness is the
+	// factor by which slow_workers lengthens their work and the latency of their serving tasks.
 	WorkersPercent int     `json:"workers_percent,omitempty"`
 	Slowness       float64 `json:"slowness,omitempty"`
+	// KeepEntries is set if the entries of workers that darken_workers and lose_workers end stay
+	// in the platform's store.
+	KeepEntries bool `json:"keep_entries,omitempty"`
 }
 
 // maxSlowness bounds Fault.Slowness.
@@ -162,13 +183,18 @@
 // inject waits for the fault's start, injects it and reverts it after its duration.
 func (sim *simulation) inject(f Fault) {
 	time.Sleep(time.Duration(f.AtMS) * time.Millisecond)
-	worker := sim.workers[f.Worker%len(sim.workers)]
+	workers := sim.currentWorkers()
+	worker := workers[f.Worker%len(workers)]
 	hosts := sim.targetHosts(f.Host)
 	duration := time.Duration(f.ForMS) * time.Millisecond
 	sim.logger.WithField("fault", fmt.Sprintf("%+v", f)).Info("injecting fault")
-	if f.Kind == OddEntries {
-		// Tasks have to go on meanwhile, so this is no disturbance.
-		sim.entries.disturb(worker, sim.workers, duration)
+	switch f.Kind {
+	// Tasks have to go on meanwhile, so these are no disturbances.
+	case OddEntries:
+		sim.entries.disturb(worker, workers, duration)
+		return
+	case AddWorkers:
+		sim.addWorkers(len(workers) * f.WorkersPercent / 100)
 		return
 	}
 	sim.disturbance.begin()
@@ -176,6 +202,12 @@
 	switch f.Kind {
 	case KillHost, StopHost, KillAll:
 		sim.restartHosts(f.Kind, hosts, duration)
+	case LoseHost:
+		hosts[0].kill()
+	case StallHost:
+		hosts[0].stall(duration)
+	case CutWorkers, DarkenWorkers, LoseWorkers, SilenceWorkers:
+		sim.loseShare(f, duration)
 	case RebalanceGroups:
 		sim.store.RebalanceAll()
 	case Compact:
@@ -312,7 +344,7 @@
 // wait.
 func (sim *simulation) slowWorkers(f Fault, duration time.Duration) {
 	set := func(slowness float64) {
-		for _, id := range sim.workers[:(len(sim.workers)*f.WorkersPercent+99)/100] {
+		for _, id := range firstOf(sim.currentWorkers(), f.WorkersPercent) {
 			sim.cluster.SetSlowness(sim.now(), id, slowness)
 		}
 	}
@@ -327,7 +359,15 @@
 }
 
 // firstThird returns the first third of the workers.
-func (sim *simulation) firstThird() []platform.WorkerID { return sim.workers[:(len(sim.workers)+2)/3] }
+func (sim *simulation) firstThird() []platform.WorkerID {
+	workers := sim.currentWorkers()
+	return workers[:(len(workers)+2)/3]
+}
+
+// firstOf returns the first workers of a list, as many as the given share of it.
+func firstOf(workers []platform.WorkerID, percent int) []platform.WorkerID {
+	return workers[:(len(workers)*percent+99)/100]
+}
 
 // reduceCapacity reduces the capacity of workers for the given time.
 func (sim *simulation) reduceCapacity(f Fault, id platform.WorkerID, duration time.Duration) {
@@ -362,8 +402,9 @@
 // fault's worker.
 func (sim *simulation) declareWave(f Fault) {
 	var ids []platform.WorkerID
-	for i := range min(waveMachines, len(sim.workers)) {
-		ids = append(ids, sim.workers[(f.Worker+i)%len(sim.workers)])
+	workers := sim.currentWorkers()
+	for i := range min(waveMachines, len(workers)) {
+		ids = append(ids, workers[(f.Worker+i)%len(workers)])
 	}
 	sim.cluster.DeclareWave(int64(sim.waves.Add(1)), waveMaxDown, ids...)
 }
--- a/internal/experiment/day/link.go
+++ b/internal/experiment/day/link.go
@@ -69,6 +69,22 @@
 	}
 }
 
+// sendTo simulates the delivery of an order to a worker, which waits for the end of a stall of
+// the host. A worker that restarts meanwhile does not get it, since its connections are new.
+func (l *link) sendTo(w fleet.Worker) error {
+	if stalled := l.host.stalled.Load(); stalled != nil {
+		run := l.sim.cluster.RunOf(w.ID)
+		select {
+		case <-*stalled:
+		case <-l.killed:
+		}
+		if l.sim.cluster.RunOf(w.ID) != run {
+			return fmt.Errorf("%w: the worker has restarted", platform.ErrOutcomeUnknown)
+		}
+	}
+	return l.sendOrder()
+}
+
 // awaitAnswer simulates the answer to an order: a network delay, or a timeout if the
 // worker did not answer.
 func awaitAnswer(answered bool) error {
@@ -82,7 +98,7 @@
 
 // Start implements fleet.Workers.
 func (l *link) Start(_ context.Context, w fleet.Worker, o fleet.StartOrder) (fleet.Answer, error) {
-	if err := l.sendOrder(); err != nil {
+	if err := l.sendTo(w); err != nil {
 		return fleet.Answer{}, err
 	}
 	if w.Addr == elsewhere {
@@ -94,7 +110,7 @@
 
 // Stop implements fleet.Workers.
 func (l *link) Stop(_ context.Context, w fleet.Worker, o fleet.StopOrder) (fleet.Answer, error) {
-	if err := l.sendOrder(); err != nil {
+	if err := l.sendTo(w); err != nil {
 		return fleet.Answer{}, err
 	}
 	if w.Addr == elsewhere {
@@ -106,7 +122,7 @@
 
 // Throttle implements fleet.Workers.
 func (l *link) Throttle(_ context.Context, w fleet.Worker, o fleet.ThrottleOrder) (fleet.Answer, error) {
-	if err := l.sendOrder(); err != nil {
+	if err := l.sendTo(w); err != nil {
 		return fleet.Answer{}, err
 	}
 	if w.Addr == elsewhere {
@@ -121,7 +137,7 @@
 	deadline := l.sim.now() + o.Wait
 	bootCount := int64(0)
 	for {
-		if err := l.sendOrder(); err != nil {
+		if err := l.sendTo(w); err != nil {
 			return fleet.RenewReply{}, err
 		}
 		if w.Addr == elsewhere {
--- a/internal/experiment/day/narrow.go
+++ b/internal/experiment/day/narrow.go
@@ -50,14 +50,14 @@
 	return &narrowLink{link: l, out: pipe{bytesPerSecond: bytesPerSecond}, in: pipe{bytesPerSecond: bytesPerSecond}}
 }
 
-// exchange sends an order of the given size and waits up to timeout for the answer.
+// exchange sends a worker an order of the given size and waits up to timeout for the answer.
 // carryOut executes the order and returns the answer and its size, or false if there is
 // no answer.
-func exchange[T any](l *narrowLink, timeout time.Duration, size int, carryOut func() (T, int, bool)) (T, error) {
+func exchange[T any](l *narrowLink, w fleet.Worker, timeout time.Duration, size int, carryOut func() (T, int, bool)) (T, error) {
 	answers := make(chan T, 1)
 	go func() {
 		time.Sleep(l.out.send(l.sim.now(), size))
-		if l.sendOrder() != nil {
+		if l.sendTo(w) != nil {
 			return
 		}
 		answer, answerSize, answered := carryOut()
@@ -79,7 +79,7 @@
 
 // Start implements fleet.Workers.
 func (l *narrowLink) Start(_ context.Context, w fleet.Worker, o fleet.StartOrder) (fleet.Answer, error) {
-	return exchange(l, orderTimeout, orderBytes+len(o.Payload), func() (fleet.Answer, int, bool) {
+	return exchange(l, w, orderTimeout, orderBytes+len(o.Payload), func() (fleet.Answer, int, bool) {
 		a, answered := l.sim.cluster.Start(l.sim.now(), w.ID, o)
 		return a, replyBytes, answered
 	})
@@ -87,7 +87,7 @@
 
 // Stop implements fleet.Workers.
 func (l *narrowLink) Stop(_ context.Context, w fleet.Worker, o fleet.StopOrder) (fleet.Answer, error) {
-	return exchange(l, orderTimeout, orderBytes, func() (fleet.Answer, int, bool) {
+	return exchange(l, w, orderTimeout, orderBytes, func() (fleet.Answer, int, bool) {
 		a, answered := l.sim.cluster.Stop(l.sim.now(), w.ID, o)
 		return a, replyBytes, answered
 	})
@@ -95,7 +95,7 @@
 
 // Throttle implements fleet.Workers.
 func (l *narrowLink) Throttle(_ context.Context, w fleet.Worker, o fleet.ThrottleOrder) (fleet.Answer, error) {
-	return exchange(l, orderTimeout, orderBytes, func() (fleet.Answer, int, bool) {
+	return exchange(l, w, orderTimeout, orderBytes, func() (fleet.Answer, int, bool) {
 		a, answered := l.sim.cluster.Throttle(l.sim.now(), w.ID, o)
 		return a, replyBytes, answered
 	})
@@ -103,7 +103,7 @@
 
 // Renew implements fleet.Workers.
 func (l *narrowLink) Renew(ctx context.Context, w fleet.Worker, o fleet.RenewOrder) (fleet.RenewReply, error) {
-	return exchange(l, renewTimeout+o.Wait, orderBytes, func() (fleet.RenewReply, int, bool) {
+	return exchange(l, w, renewTimeout+o.Wait, orderBytes, func() (fleet.RenewReply, int, bool) {
 		reply, err := l.link.Renew(ctx, w, o)
 		return reply, replyBytes + rowBytes*(len(reply.Running)+len(reply.Ended)), err == nil
 	})
--- a/internal/experiment/day/simulation.go
+++ b/internal/experiment/day/simulation.go
@@ -8,6 +8,8 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,6 +55,8 @@
 	cluster   *cluster.Cluster
 	network   *memnet.Network
 	hosts     []*host
+	// workers are the workers that have ever been added, under workersMu.
+	workersMu sync.Mutex
 	workers   []platform.WorkerID
 	// declared holds the versions of the declarations.
 	declared    declared
@@ -83,6 +87,8 @@
 	startedAt atomic.Int64
 	// link connects the current run of the program to the workers.
 	link *link
+	// stalled is closed when the stall of the host ends. It is nil before the first one.
+	stalled atomic.Pointer[chan struct{}]
 }
 
 func newSimulation(hosts, workers int, logger *logrus.Logger) *simulation {
@@ -90,11 +96,7 @@
 		logger: logger, startedAt: time.Now(), store: memstore.New(), cluster: cluster.New(), network: memnet.New(),
 	}
 	sim.declare(1)
-	for i := range workers {
-		info := workerInfo(i)
-		sim.workers = append(sim.workers, info.ID)
-		sim.cluster.AddWorker(sim.now(), info)
-	}
+	sim.addWorkers(workers)
 	for i := range hosts {
 		name := fmt.Sprintf("host-%d", i)
 		sim.hosts = append(sim.hosts, &host{
@@ -104,6 +106,24 @@
 	return sim
 }
 
+// addWorkers starts further workers.
+func (sim *simulation) addWorkers(count int) {
+	sim.workersMu.Lock()
+	defer sim.workersMu.Unlock()
+	for range count {
+		info := workerInfo(len(sim.workers))
+		sim.workers = append(sim.workers, info.ID)
+		sim.cluster.AddWorker(sim.now(), info)
+	}
+}
+
+// currentWorkers returns the workers that have been added so far.
+func (sim *simulation) currentWorkers() []platform.WorkerID {
+	sim.workersMu.Lock()
+	defer sim.workersMu.Unlock()
+	return slices.Clone(sim.workers)
+}
+
 func workerInfo(i int) fleet.Worker {
 	rack := platform.RackID(fmt.Sprintf("r%d", i/workersPerRack))
 	return fleet.Worker{
--- a/internal/experiment/day/waiting.go
+++ b/internal/experiment/day/waiting.go
@@ -109,6 +109,11 @@
 	reported   map[string]bool
 	// atEnd are the waits finishTime after the last submission.
 	atEnd []string
+	// atFinish are the waits that checkFinish has found, sinceEnd the idle times since the last
+	// submission while under half of the processors are in use.
+	atFinish      []string
+	sinceEnd      idleTimes
+	finishChecked bool
 	// underHalf are the idle times while under half of the processors are in use, anyLoad
 	// those at any load.
 	underHalf, anyLoad idleTimes
@@ -125,6 +130,7 @@
 		sim.cluster.Advance(now)
 		c.checkUnderHalf(now)
 		c.checkAnyLoad(now)
+		c.checkFinish(now)
 		c.checkPending(ctx, now)
 	}
 	return c
@@ -175,6 +181,27 @@
 	}
 }
 
+// checkFinish checks once, finishTime after the last submission, that no task waits while under
+// half of the processors are in use. It does so whatever faults are active: workers that are
+// away count neither as room nor as in use.
+func (c *waitingCheck) checkFinish(now time.Duration) {
+	ended := time.Duration(c.sim.trafficEndedAt.Load())
+	if ended == 0 || c.finishChecked {
+		return
+	}
+	c.sinceEnd = c.sinceEnd.update(now, c.sim.cluster.Idle())
+	if now < ended+finishTime {
+		return
+	}
+	c.finishChecked = true
+	for ref, since := range c.sinceEnd {
+		if waitsTooLong(now, since, c.sim.cluster.LastRunEnded(ref)) {
+			c.atFinish = append(c.atFinish, fmt.Sprintf("LOST at %v, %v after the last submission: %s could run and has waited since %v: %s",
+				now, now-ended, ref, since, c.sim.cluster.DescribeIdle(ref)))
+		}
+	}
+}
+
 func (c *waitingCheck) reportWait(now time.Duration, ref job.TaskRef, since time.Duration) {
 	const text = "LOST at %v: %s could run and has waited since %v: %s"
 	reason := c.sim.cluster.DescribeIdle(ref)
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -146,6 +146,8 @@
 	crashing *Crashing
 	// crashes are the crashes of workers under each task.
 	crashes map[job.TaskRef]*taskCrashes
+	// runEndedAt is when the last run of each task ended, for any reason.
+	runEndedAt map[job.TaskRef]time.Duration
 	// lostAt is when each task last ran on a worker that has crashed since.
 	lostAt map[job.TaskRef]time.Duration
 	// endListed are the tasks whose successful end a worker has listed, and endLost those
@@ -193,8 +195,11 @@
 	startCount    int
 	// throttleRefusal is the verdict on every throttle order, or zero.
 	throttleRefusal fleet.Verdict
-	// mute is set while no order but renewals reaches the worker.
-	mute bool
+	// mute is set while no order but renewals reaches the worker, silent while it carries out
+	// orders without answering.
+	mute, silent bool
+	// keepEntry is set if the worker's entry stays while it is down.
+	keepEntry bool
 }
 
 // end is the end of an attempt at a time.
@@ -268,14 +273,24 @@
 	return c.workers[id].info
 }
 
-// Entries returns the registrations of all workers that are up, sorted by
+// RunOf returns the number of a worker's run, or zero if there is no such worker.
+func (c *Cluster) RunOf(id platform.WorkerID) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.workers[id]; w != nil {
+		return w.bootCount
+	}
+	return 0
+}
+
+// Entries returns the registrations of all workers that are up or keep them, sorted by
 // identifier.
 func (c *Cluster) Entries() []fleet.Worker {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []fleet.Worker
 	for _, w := range c.workers {
-		if w.up {
+		if w.up || w.keepEntry {
 			list = append(list, w.info)
 		}
 	}
@@ -299,7 +314,8 @@
 		spec: s.Spec, duration: duration, fails: fails, maxFailures: s.MaxFailures,
 		done: map[job.TaskRef]bool{}, lastStart: map[job.TaskRef]time.Duration{}, lastAttempt: map[job.TaskRef]platform.Attempt{}, acknowledged: map[job.TaskRef]bool{}, failures: map[job.TaskRef]int{},
 		failedAttempts: map[job.TaskRef]map[platform.Attempt]bool{}, crashes: map[job.TaskRef]*taskCrashes{},
-		lostAt: map[job.TaskRef]time.Duration{}, endListed: map[job.TaskRef]bool{}, endLost: map[job.TaskRef]bool{},
+		runEndedAt: map[job.TaskRef]time.Duration{},
+		lostAt:     map[job.TaskRef]time.Duration{}, endListed: map[job.TaskRef]bool{}, endLost: map[job.TaskRef]bool{},
 	}
 }
 
@@ -383,6 +399,20 @@
 	c.workers[id].mute = mute
 }
 
+// SetSilent sets whether a worker carries out orders without answering.
+func (c *Cluster) SetSilent(id platform.WorkerID, silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.workers[id].silent = silent
+}
+
+// KeepEntry sets whether a worker's entry stays while it is down.
+func (c *Cluster) KeepEntry(id platform.WorkerID, keep bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.workers[id].keepEntry = keep
+}
+
 // RefuseStarts makes a worker refuse all start orders with a verdict, or none if it is zero.
 func (c *Cluster) RefuseStarts(id platform.WorkerID, v fleet.Verdict) {
 	c.mu.Lock()
--- a/internal/standin/cluster/crashes.go
+++ b/internal/standin/cluster/crashes.go
@@ -84,6 +84,7 @@
 			t.crashes[ref] = k
 		}
 		k.count++
+		t.noteRunEnded(max(a.ranAt, a.startedAt), ref)
 		t.loseRun(ref, max(a.ranAt, a.startedAt))
 		k.workers[w.info.ID] = true
 		c.runsLost++
--- a/internal/standin/cluster/idle.go
+++ b/internal/standin/cluster/idle.go
@@ -73,7 +73,7 @@
 }
 
 // usable reports whether tasks can be started on a worker.
-func (w *worker) usable() bool { return w.up && !w.partitioned && !w.info.Draining }
+func (w *worker) usable() bool { return w.up && !w.partitioned && !w.silent && !w.info.Draining }
 
 // processorsInUse returns the share of the processors of usable workers that tasks reserve,
 // or zero if there is no such worker.
@@ -103,12 +103,15 @@
 	busy := map[job.ID]bool{}
 	var rooms []room
 	for _, w := range c.workers {
+		// What runs on a worker that is cut off or draining runs nevertheless.
+		if w.up {
+			for ref := range w.running {
+				running[ref], busy[ref.Job] = true, true
+			}
+		}
 		if !w.usable() {
 			continue
 		}
-		for ref := range w.running {
-			running[ref], busy[ref.Job] = true, true
-		}
 		rooms = append(rooms, room{w, w.info.Capacity.Sub(c.reserved(w))})
 	}
 	var idle []IdleTask
@@ -178,6 +181,26 @@
 	return last
 }
 
+// LastRunEnded returns when the last run of a long-running task ended for any reason, and for
+// others what LastRunLost does.
+func (c *Cluster) LastRunEnded(ref job.TaskRef) time.Duration {
+	if at, longRunning := c.longRunEnded(ref); longRunning {
+		return at
+	}
+	return c.LastRunLost(ref)
+}
+
+func (c *Cluster) longRunEnded(ref job.TaskRef) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.jobs[ref.Job].runEndedAt[ref], c.step(ref).LongRunning
+}
+
+// noteRunEnded records that a run of a task ended.
+func (t *jobModel) noteRunEnded(at time.Duration, ref job.TaskRef) {
+	t.runEndedAt[ref] = max(t.runEndedAt[ref], at)
+}
+
 // startedWith returns the tasks that can only start together with a task, itself included.
 func (t *jobModel) startedWith(ref job.TaskRef) []job.TaskRef {
 	step := &t.spec.Steps[ref.Step]
--- a/internal/standin/cluster/run.go
+++ b/internal/standin/cluster/run.go
@@ -122,6 +122,7 @@
 // end ends an attempt, fences it, and lists its end until it is acknowledged.
 func (c *Cluster) end(now time.Duration, w *worker, ref job.TaskRef, a *attempt, kind fleet.EndKind, checkpoint string) {
 	c.jobs[ref.Job].noteRanOn(now)
+	c.jobs[ref.Job].noteRunEnded(now, ref)
 	delete(w.running, ref)
 	w.fencedAttempts[ref] = max(w.fencedAttempts[ref], a.number)
 	w.lastEndNumber++
@@ -210,6 +211,9 @@
 // replyArrives reports whether the reply to an executed order arrives, and if not
 // reduces the number of replies still to lose.
 func (w *worker) replyArrives() bool {
+	if w.silent {
+		return false
+	}
 	if w.lostReplies == 0 {
 		return true
 	}
@@ -324,7 +328,7 @@
 		return fleet.RenewReply{}, false
 	}
 	if o.Token < w.fencingToken {
-		return fleet.RenewReply{Verdict: fleet.RefusedFenced, Clock: w.clock(now)}, true
+		return fleet.RenewReply{Verdict: fleet.RefusedFenced, Clock: w.clock(now)}, !w.silent
 	}
 	w.fencingToken = o.Token
 	w.extendLease(now, o.LeaseEnd)
