Tests: leases on silent workers, and no lease without a record of when it was closed

TestLeaseIsNotExtendedBeforeRecord breaks TWICE if leases are extended on a closed worker. An enrollment that does not come from the table counts as not closed.

--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -243,7 +243,7 @@
 
 // closedBefore reports whether the last owner to reach the worker had recorded by the given time
 // that it extends no lease there. This owner has read all that earlier ones could record.
-func (w *workerState) closedBefore(at Instant) bool { return w.onlyMayRun != nil && w.closedAt <= at }
+func (w *workerState) closedBefore(at Instant) bool { return w.closedAt != 0 && w.closedAt <= at }
 
 // countMayRun counts the workers that may run an untracked attempt of a task.
 func (s *Shard) countMayRun(now Instant, ref job.TaskRef) int {
--- a/internal/scheduler/unheard_test.go
+++ b/internal/scheduler/unheard_test.go
@@ -133,3 +133,47 @@
 	must.Positive(t, lease())
 	h.checkViolations()
 }
+
+// TestTasksOnSilentWorkersWaitForLeasesOnly: two thirds of the workers had been silent for
+// seconds before changes of owners. The tasks that were running there waited for 15 s, as if
+// their owner might have gone on extending their leases.
+func TestTasksOnSilentWorkersWaitForLeasesOnly(t *testing.T) {
+	silent := []platform.WorkerID{"w00", "w01", "w02", "w03"}
+	for _, changes := range []int{1, 2} {
+		h := newHarness(t, 6)
+		h.run(200 * time.Millisecond)
+		h.shard.SetCordoned([]platform.WorkerID{"w04", "w05"})
+		step := longRunningStep()
+		step.Tasks, step.MaxPerWorker = len(silent), 1
+		id := h.submit(firstID, fixedLength(100), nil, step)
+		h.run(400 * time.Millisecond)
+		must.Eq(t, len(silent), h.cluster.Running(id))
+		h.cordonAllBut("")
+		for _, id := range silent {
+			h.cluster.SetPartitioned(id, true)
+		}
+		h.run(3 * time.Second)
+		for range changes {
+			h.takeOver(false)
+		}
+		must.LessEq(t, 5300*time.Millisecond, h.runUntilStart(30*time.Second))
+		h.run(time.Second)
+		h.checkViolations()
+	}
+}
+
+// TestLeaseIsNotExtendedBeforeRecord guards against a lease on a worker that the log lists as
+// closed: it answers again, no record can be written, and the next owner does not wait for it.
+func TestLeaseIsNotExtendedBeforeRecord(t *testing.T) {
+	h, _ := newTakeoverHarness(t, "w00", longRunningStep())
+	h.run(3 * time.Second)
+	h.recordingPaused = true
+	h.cluster.SetPartitioned("w00", false)
+	h.run(500 * time.Millisecond)
+	h.cluster.SetPartitioned("w00", true)
+	h.recordingPaused = false
+	h.takeOver(false)
+	h.run(10 * time.Second)
+	must.Eq(t, 2, h.cluster.Starts())
+	h.checkViolations()
+}
