Ask every earlier owner whether it has ended, not only the last one

Callers saw jobs with nothing running, and long-running tasks down, for 13 s after a change of owners (LOST).

A new owner now asks the hosts of all earlier owners that were not released and were replaced within AuthorityBound; others can act no more. An answer shortens the wait as that of the last owner does.

TestNewOwnerHearsThatOwnerBeforeLastHasEnded.

--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -173,7 +173,7 @@
 	if err := n.Refresh(ctx); err != nil {
 		return err
 	}
-	previous := n.table.Owner()
+	earlier, previous := n.table.Owners(), n.table.Owner()
 	own := job.Ownership{Host: n.Host, Addr: n.Peer.String(), Epoch: epoch, Claim: previous.Claim + 1, Standby: n.standby(), BoundsLeases: true}
 	d := dispatch.New(dispatch.Config{
 		Store: n.Store, Partition: n.partition, Workers: n.Workers, Advisor: n.Advisor, Clock: n.Clock, Logger: n.Logger, Metrics: n.Metrics,
@@ -190,7 +190,10 @@
 	ownerCtx, stop := context.WithCancel(n.ctx)
 	n.handStateTo(d, stop)
 	n.background.Go(func() { n.followWorkers(ownerCtx, d) })
-	n.background.Go(func() { n.awaitPredecessorEnd(ownerCtx, d, previous) })
+	// A worker that does not answer may have been reached last by any of them.
+	for _, term := range earlier {
+		n.background.Go(func() { n.awaitPredecessorEnd(ownerCtx, d, term) })
+	}
 	n.startUpkeep(ownerCtx, d, previous)
 	n.count("shard.taken_over")
 	event.OwnershipGained.Log(n.Logger, logrus.Fields{
--- a/internal/process/node/predecessor.go
+++ b/internal/process/node/predecessor.go
@@ -15,18 +15,20 @@
 // has ended.
 const predecessorProbeInterval = 100 * time.Millisecond
 
-// awaitPredecessorEnd asks the host of the owner before, until it answers that this owner has
+// awaitPredecessorEnd asks the host of an earlier owner, until it answers that this owner has
 // ended, and tells d. Tasks that may run on a worker that does not answer then wait for the
 // leases only, not for the time for which that owner might act without the store. It returns
 // after that time, or when ctx is done.
-func (n *Node) awaitPredecessorEnd(ctx context.Context, d *dispatch.Dispatcher, previous job.Ownership) {
-	if previous.Claim == 0 || previous.Released {
-		return
+func (n *Node) awaitPredecessorEnd(ctx context.Context, d *dispatch.Dispatcher, earlier job.OwnershipTerm) {
+	until := n.Clock()
+	if earlier.ReplacedAt != 0 {
+		until = earlier.ReplacedAt
 	}
-	for until := n.Clock() + scheduler.AuthorityBound; ctx.Err() == nil && n.Clock() < until; {
-		if n.hasEnded(previous) {
+	until += scheduler.AuthorityBound
+	for !earlier.Released && ctx.Err() == nil && n.Clock() < until {
+		if n.hasEnded(earlier.Ownership) {
 			n.count("shard.predecessor_ended")
-			d.PredecessorEnded(previous.Claim)
+			d.PredecessorEnded(earlier.Claim)
 			return
 		}
 		// The loop ends with the context.
--- a/internal/process/node/predecessor_test.go
+++ b/internal/process/node/predecessor_test.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/shoenig/test/must"
 	"github.com/siskinvane/siskinvane/internal/scheduler"
+	"github.com/siskinvane/siskinvane/internal/standin/memstore"
 )
 
 // TestNewOwnerHearsThatEarlierOneHasEnded: a new owner waited for the time for which the one
@@ -92,3 +93,36 @@
 	}
 	return "y", "x"
 }
+
+// TestNewOwnerHearsThatOwnerBeforeLastHasEnded: after two changes of owners a new owner only asked
+// the last one before it, and waited for the time for which the one before that might act.
+func TestNewOwnerHearsThatOwnerBeforeLastHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "x", "y", "z")
+		f.awaitOwner(2*time.Second, isWide)
+		first := f.owner()
+		f.setCutOff(first, true)
+		f.awaitOwner(4*time.Second, func(owner string) bool { return owner != first })
+		second := f.owner()
+		f.kill(second)
+		f.awaitOwner(4*time.Second, func(owner string) bool { return owner != first && owner != "" })
+		third := f.nodes[f.owner()]
+		must.Eq(t, 3, third.ownedDispatcher().Ownership.Claim)
+		told := metrics.GetOrRegisterCounter("shard.predecessor_ended", third.Metrics)
+		must.Zero(t, told.Count())
+		f.setCutOff(first, false)
+		time.Sleep(4 * time.Second)
+		must.Eq(t, 1, told.Count())
+		f.stopAll()
+	})
+}
+
+// setCutOff cuts a host off from the other hosts and the store, or connects it again.
+func (f *fleetOf) setCutOff(name string, cutOff bool) {
+	mode := memstore.Healthy
+	if cutOff {
+		mode = memstore.Unresponsive
+	}
+	f.network.SetPartitioned(f.nodes[name].Peer.Addr(), cutOff)
+	f.nodes[name].Store.(*instrumentedStore).Store.(*memstore.View).Set(mode, 0)
+}
