Bound how long workers that are set aside keep tasks waiting

Jobs that fail everywhere, and have enough tasks, set all workers aside. A task that lasts then waited for up to 6 s, since a worker that fails again is set aside for longer. Worse, each worker gets one task as a probe: where those are long, everything else waited for their ends with most of the room free.

A probed worker gets its next task 2 s after the last one at the latest. A long-running task that has waited for 2 s, and that no worker takes, may start on one that is set aside: its failures do not count.

--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -39,6 +39,9 @@
 	// last 4 to 7 s, and a worker is a sixtieth of the capacity.
 	minSetAside = 1500 * time.Millisecond
 	maxSetAside = 6 * time.Second
+	// probeInterval is how long after a task the next one may start on a worker that is probed,
+	// though the first has not ended: it may be long, and all workers may be probed.
+	probeInterval = 2 * time.Second
 	// A task may show no progress for stallPercents of its expected length, but for
 	// stallTimeout at least and maxStallTimeout at most: lengths may be far off. The time
 	// doubles up to maxStallDoublings times.
@@ -112,7 +115,13 @@
 
 // accepts reports whether the worker may get a task now.
 func (h *health) accepts(now Instant, w *workerState) bool {
-	return now >= h.asideUntil && (!h.probing || w.batchAttempts == 0) && !w.hasUnansweredStop()
+	return now >= h.asideUntil && (!h.probing || w.batchAttempts == 0 || now >= w.placedAt+probeInterval) && !w.hasUnansweredStop()
+}
+
+// mayTryAside reports whether a long-running task may start on a worker that is set aside, since
+// no other worker takes it. The failures of such tasks do not count.
+func (w *workerState) mayTryAside(now Instant) bool {
+	return now >= w.placedAt+probeInterval && !w.hasUnansweredStop()
 }
 
 // hasUnansweredStop reports whether the worker has answered neither the start order of an
--- /dev/null
+++ b/internal/scheduler/longwait_test.go
@@ -0,0 +1,46 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestHopelessJobsKeepNoOthersWaiting: jobs that fail everywhere set all workers aside, and a task
+// that lasts waited for 6 s.
+func TestHopelessJobsKeepNoOthersWaiting(t *testing.T) {
+	h := newHarness(t, 6)
+	h.run(time.Second)
+	for i := range 12 {
+		h.submit(fmt.Sprintf("%016x", 0xd00+i), fixedLength(0.3), alwaysFails, batchStep(12))
+		h.run(500 * time.Millisecond)
+	}
+	id, began := h.submit(firstID, fixedLength(100), nil, longRunningStep()), h.now
+	for !h.cluster.Started(id) && h.now < began+30*time.Second {
+		h.tick()
+	}
+	must.Less(t, 3*time.Second, h.now-began)
+	h.checkViolations()
+}
+
+// TestLongProbesKeepNoOthersWaiting: workers that had been set aside ran a long task each as a
+// probe, and took no other task until its end.
+func TestLongProbesKeepNoOthersWaiting(t *testing.T) {
+	h := newHarness(t, 3)
+	h.run(time.Second)
+	for i := range 2 {
+		h.submit(fmt.Sprintf("%016x", 0xd00+i), fixedLength(0.3), alwaysFails, batchStep(6))
+		h.run(3 * time.Second)
+	}
+	long := h.submit(secondID, fixedLength(60), nil, batchStep(3))
+	h.run(8 * time.Second)
+	must.Eq(t, 3, h.cluster.Running(long))
+	id, began := h.submit(firstID, fixedLength(100), nil, longRunningStep()), h.now
+	for !h.cluster.Started(id) && h.now < began+90*time.Second {
+		h.tick()
+	}
+	must.Less(t, 3*time.Second, h.now-began)
+	h.checkViolations()
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -248,6 +248,8 @@
 	// onTrial is set while a step of fillers is tried without regard to headroom, urgent if it
 	// may join other trials.
 	onTrial, urgent bool
+	// starving is set while one task of a starved step is tried.
+	starving bool
 	// issued counts the start orders of this plan.
 	issued int
 	// unplaceable are the starved steps for which this plan has found no worker.
@@ -279,6 +281,9 @@
 	if p.onTrial {
 		return p.trialWorkers(p.service(r))
 	}
+	if p.starving && r.spec.LongRunning && len(p.schedulableWorkers(p.service(r))) == 0 {
+		return p.workersAside(p.service(r))
+	}
 	if p.full || !r.triedAll {
 		return p.schedulableWorkers(p.service(r))
 	}
@@ -294,6 +299,20 @@
 	return dirty
 }
 
+// workersAside returns the workers of a service that are set aside and may be tried all the same.
+func (p *placement) workersAside(service platform.ServiceName) []*workerState {
+	if !p.shard.CapacitiesKnown(p.now) {
+		return nil
+	}
+	var list []*workerState
+	for _, w := range p.shard.sortedWorkers {
+		if w.info.Service == service && w.schedulable() && w.runCertain(p.now) && w.mayTryAside(p.now) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
 // groupSchedulable returns the workers of a list that may get new tasks at all, grouped
 // by service and sorted.
 func (p *placement) groupSchedulable(list []*workerState) map[platform.ServiceName][]*workerState {
--- a/internal/scheduler/priority.go
+++ b/internal/scheduler/priority.go
@@ -165,8 +165,9 @@
 // took: the members of a gang start together.
 func (p *placement) placeOnce(r *stepRun) int {
 	left := p.startsLeft
-	p.startsLeft = 1
+	p.startsLeft, p.starving = 1, true
 	p.placeStep(r)
+	p.starving = false
 	issued := 1 - p.startsLeft
 	p.startsLeft = left - issued
 	// The steps that this leaves untried are tried in their order, which comes next.
