Test: a worker dismissed while its closing record is under way stays closed

Found by review of the record of silent workers, and by the simulation with several owners: a silent worker was dismissed while the record that closes it was under way, and answered before that was written. It counted as enrolled and open although the log said that nothing starts there.

--- a/internal/scheduler/silence_test.go
+++ b/internal/scheduler/silence_test.go
@@ -84,3 +84,31 @@
 	must.Eq(t, 1, h.cluster.Running(id))
 	h.checkViolations()
 }
+
+// TestDismissedWorkerStaysClosed: a worker was dismissed while the record that closes it was under
+// way, and answered. It got a task before the log had opened it, so that the next owner, which did
+// not hear it, started the task a second time.
+func TestDismissedWorkerStaysClosed(t *testing.T) {
+	h := newHarness(t, 2)
+	h.run(time.Second)
+	h.cluster.SetPartitioned("w00", true)
+	h.recordingPaused = true
+	h.shard.RenewFailed(h.now, h.now-700*time.Millisecond, "w00")
+	closing := h.shard.TakeUnrecorded(h.now.Milliseconds())
+	must.SliceLen(t, 1, closing.Enrolled)
+	must.True(t, closing.Enrolled[0].Closed)
+	h.run(200 * time.Millisecond)
+	h.cluster.SetPartitioned("w00", false)
+	h.cordonAllBut("w00")
+	h.submit(firstID, fixedLength(10), nil, batchStep(1))
+	h.run(300 * time.Millisecond)
+	h.enrolled["w00"] = closing.Enrolled[0]
+	h.shard.MarkRecorded(closing)
+	h.run(300 * time.Millisecond)
+	h.cluster.SetPartitioned("w00", true)
+	h.recordingPaused = false
+	h.takeOver(false)
+	h.run(time.Second)
+	h.checkViolations()
+	must.One(t, h.cluster.Starts())
+}
