Stand-in: slow clocks, awaited answers, starts of lower attempts after an end

For tests with several owners at a time:

- A worker's clock may be up to 2% slow, and a renew order that waits for an end is answered although a later owner's token has been seen meanwhile.
- A start after an end that is acknowledged later was only found if its attempt number was higher.
A start that an earlier owner had ordered has a lower one.

--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -131,10 +131,9 @@
 	cancelledAt time.Duration
 	// ranOn is the longest time for which a task has run on after cancelledAt.
 	ranOn time.Duration
-	// lastStart is when each task was last started, lastAttempt the attempt.
-	lastStart   map[job.TaskRef]time.Duration
-	lastAttempt map[job.TaskRef]platform.Attempt
-	done        map[job.TaskRef]bool
+	// lastStart is when each task was last started.
+	lastStart map[job.TaskRef]time.Duration
+	done      map[job.TaskRef]bool
 	// acknowledged are the tasks whose successful end the scheduler has acknowledged.
 	acknowledged map[job.TaskRef]bool
 	failures     map[job.TaskRef]int
@@ -187,6 +186,8 @@
 	lostReplies int
 	// speed is the work done per unit of time. Latencies are divided by it.
 	speed float64
+	// clockRate is the rate of the worker's clock, also over crashes.
+	clockRate float64
 	// failing makes every attempt fail at its end; stalled stops all progress.
 	failing, stalled bool
 	// refusal is the verdict on every start order, or zero; refusedStarts counts them.
@@ -250,7 +251,7 @@
 func (c *Cluster) AddWorker(now time.Duration, info fleet.Worker) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := &worker{info: info, speed: 1}
+	w := &worker{info: info, speed: 1, clockRate: 1}
 	c.workers[info.ID] = w
 	w.boot(now)
 }
@@ -312,7 +313,7 @@
 	}
 	c.jobs[id] = &jobModel{
 		spec: s.Spec, duration: duration, fails: fails, maxFailures: s.MaxFailures,
-		done: map[job.TaskRef]bool{}, lastStart: map[job.TaskRef]time.Duration{}, lastAttempt: map[job.TaskRef]platform.Attempt{}, acknowledged: map[job.TaskRef]bool{}, failures: map[job.TaskRef]int{},
+		done: map[job.TaskRef]bool{}, lastStart: map[job.TaskRef]time.Duration{}, acknowledged: map[job.TaskRef]bool{}, failures: map[job.TaskRef]int{},
 		failedAttempts: map[job.TaskRef]map[platform.Attempt]bool{}, crashes: map[job.TaskRef]*taskCrashes{},
 		runEndedAt: map[job.TaskRef]time.Duration{},
 		lostAt:     map[job.TaskRef]time.Duration{}, endListed: map[job.TaskRef]bool{}, endLost: map[job.TaskRef]bool{},
@@ -370,6 +371,14 @@
 	w.speed = 1 / factor
 }
 
+// SetClockRate sets the rate of a worker's clock from its boot on, also over crashes. It must
+// be called before the first order.
+func (c *Cluster) SetClockRate(id platform.WorkerID, rate float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.workers[id].clockRate = rate
+}
+
 // SetPartitioned sets whether a worker is partitioned: orders do not reach it.
 func (c *Cluster) SetPartitioned(id platform.WorkerID, partitioned bool) {
 	c.mu.Lock()
@@ -507,5 +516,10 @@
 
 // clock returns the time on the worker's own clock, which starts at its boot.
 func (w *worker) clock(now time.Duration) platform.WorkerTime {
-	return platform.WorkerTime(now - w.bootedAt)
+	return platform.WorkerTime(float64(now-w.bootedAt) * w.clockRate)
+}
+
+// timeAt returns when the worker's own clock shows a reading.
+func (w *worker) timeAt(reading platform.WorkerTime) time.Duration {
+	return w.bootedAt + time.Duration(float64(reading)/w.clockRate)
 }
--- a/internal/standin/cluster/run.go
+++ b/internal/standin/cluster/run.go
@@ -34,7 +34,7 @@
 		if w.stalled || a.crashAt > 0 || c.step(ref).LongRunning {
 			end = now + time.Hour
 		}
-		lapse := w.bootedAt + time.Duration(w.leaseEnd)
+		lapse := w.timeAt(w.leaseEnd)
 		switch {
 		case w.leaseEnd > 0 && lapse <= now && lapse < end:
 			c.end(lapse, w, ref, a, fleet.EndLapsed, c.checkpointAt(lapse, w, ref, a))
@@ -247,7 +247,7 @@
 		return fleet.RefusedInvalid
 	}
 	t.started = true
-	t.lastStart[o.Task], t.lastAttempt[o.Task] = now, o.Attempt
+	t.lastStart[o.Task] = now
 	remaining := t.duration(o.Task)
 	if o.Checkpoint != "" {
 		var nanos int64
@@ -271,7 +271,7 @@
 // now. It never shortens the lease.
 func (w *worker) extendLease(now time.Duration, end platform.WorkerTime) {
 	if w.leaseEnd > 0 && w.leaseEnd < w.clock(now) {
-		w.lapsedAt = w.bootedAt + time.Duration(w.leaseEnd)
+		w.lapsedAt = w.timeAt(w.leaseEnd)
 	}
 	w.leaseEnd = max(w.leaseEnd, min(end, w.clock(now)+platform.WorkerTime(maxLease)))
 }
@@ -333,6 +333,24 @@
 	w.fencingToken = o.Token
 	w.extendLease(now, o.LeaseEnd)
 	c.acknowledge(now, w, o.Acknowledged)
+	return c.lists(now, w), w.replyArrives()
+}
+
+// AwaitedLists returns the lists with which a worker answers a renew order that it has
+// accepted in the given run and that waits for an end. A later owner's token does not matter
+// any more. The second result is false if no reply arrives.
+func (c *Cluster) AwaitedLists(now time.Duration, id platform.WorkerID, run int64) (fleet.RenewReply, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.workers[id]
+	if !c.reached(now, w) || w.bootCount != run {
+		return fleet.RenewReply{}, false
+	}
+	return c.lists(now, w), w.replyArrives()
+}
+
+// lists returns a worker's running and ended attempts.
+func (c *Cluster) lists(now time.Duration, w *worker) fleet.RenewReply {
 	reply := fleet.RenewReply{Verdict: fleet.Accepted, Clock: w.clock(now), Started: w.bootCount}
 	for _, e := range w.ended {
 		reply.Ended = append(reply.Ended, e.Ended)
@@ -347,7 +365,7 @@
 			Task: ref, Attempt: a.number, Checkpoint: c.checkpointAt(now, w, ref, a), Progress: c.progress(now, w, ref, a), Load: c.reportedLoad(w, ref),
 		})
 	}
-	return reply, w.replyArrives()
+	return reply
 }
 
 // workDone returns the work of an attempt that is done.
@@ -379,7 +397,7 @@
 		}
 		if t := c.jobs[e.Task.Job]; t != nil && e.Kind == fleet.EndDone {
 			t.acknowledged[e.Task] = true
-			if !c.step(e.Task).Speculative && w.lapsedAt <= e.at && t.lastAttempt[e.Task] > e.Attempt && t.lastStart[e.Task] > e.at {
+			if !c.step(e.Task).Speculative && w.lapsedAt <= e.at && t.lastStart[e.Task] > e.at {
 				c.recordViolation(now, "TWICE", "%s, done at %v, was started again at %v", e.Task, e.at, t.lastStart[e.Task])
 			}
 		}
