Leases of earlier owners count as expired once the log confirms the owner after that

A task could run twice (TWICE) when owners change again within seconds. An owner that does not hear a worker starts its tasks elsewhere once the leases of the owner before are over, 5.5 s after it took over. It acts for up to 2.5 s without a read of the log. A later owner that had heard the worker in this time had extended the leases there.

The time by which leases have expired is compared with the last read of the log that showed no later owner: an owner extends leases only after its record is in the log. The time is passed on before each plan, since an idle owner renews only once in 1.2 s.

TestUnheardLeasesExtendedByLaterOwner fails without the change: 1 violation (TWICE).

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -442,6 +442,7 @@
 	}
 	d.mu.Lock()
 	now := d.Clock()
+	d.shard.OwnershipConfirmed(now - d.ConfirmationAge())
 	actions := d.shard.Plan(now, time.Now().UnixMilli(), d.starts.available(now))
 	orders := make([]*windowOrder, len(actions.Starts))
 	for i, start := range actions.Starts {
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -236,9 +236,17 @@
 // accepted a later token.
 const maxLeaseAfterQuorum = AuthorityWindow + maxResidualLease
 
+// confirmedTime returns the time up to which no later owner can have extended leases, as the log
+// shows. What was to expire later may have been extended.
+func (s *Shard) confirmedTime(now Instant) Instant { return min(now, s.proof.confirmedAt) }
+
 // attemptsKnown reports whether every attempt that may run on a worker is tracked.
 func (s *Shard) attemptsKnown(now Instant, w *workerState) bool {
-	return w.reconciled || w.gone || s.takeover.leasesExpired(now, w.previousClaim) || w.closedBefore(now-maxResidualLease)
+	if w.reconciled || w.gone {
+		return true
+	}
+	confirmed := s.confirmedTime(now)
+	return s.takeover.leasesExpired(confirmed, w.previousClaim) || w.closedBefore(confirmed-maxResidualLease)
 }
 
 // closedBefore reports whether the last owner to reach the worker had recorded by the given time
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/siskinvane/siskinvane/internal/platform"
+	"github.com/siskinvane/siskinvane/internal/platform/fleet"
 	"github.com/siskinvane/siskinvane/internal/scheduler"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
@@ -471,3 +472,27 @@
 		})
 	}
 }
+
+// extendUnseen lets a later owner, which the harness's owner does not see, extend the leases on
+// an unresponsive worker.
+func (h *harness) extendUnseen(id platform.WorkerID) {
+	h.readingPaused = true
+	h.cluster.SetPartitioned(id, false)
+	lease := h.now - time.Minute + bounds.MaxLease - time.Second
+	_, answered := h.cluster.Renew(h.now, id, fleet.RenewOrder{Token: platform.Epoch(h.claim + 1), LeaseEnd: platform.WorkerTime(lease)})
+	must.True(h.t, answered)
+	h.cluster.SetPartitioned(id, true)
+}
+
+// TestUnheardLeasesExtendedByLaterOwner: an owner without the log started a task that runs on a
+// worker which it had never heard, once the leases of the owner before had to be over. A later
+// owner had heard the worker and extended them.
+func TestUnheardLeasesExtendedByLaterOwner(t *testing.T) {
+	h, id := newTakeoverHarness(t, "w00", longRunningStep())
+	h.takeOver(false)
+	h.run(4 * time.Second)
+	h.extendUnseen("w00")
+	h.run(scheduler.AuthorityWindow)
+	h.checkViolations()
+	must.Eq(t, 1, h.cluster.Running(id))
+}
