A stall of a simulated host belongs to its link

TestEndsDuringLongPollAreListed has a link without a host and crashed since hosts can be stalled. The stall is now one of the link. A process that is started again meanwhile has another one.

--- a/internal/experiment/day/link.go
+++ b/internal/experiment/day/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/siskinvane/siskinvane/internal/platform"
@@ -29,6 +30,8 @@
 	host *host
 	// killed is closed when the program is killed; orders fail from then on.
 	killed chan struct{}
+	// stalled is closed when the stall of the host ends. It is nil before the first one.
+	stalled atomic.Pointer[chan struct{}]
 }
 
 var (
@@ -72,7 +75,7 @@
 // sendTo simulates the delivery of an order to a worker, which waits for the end of a stall of
 // the host. A worker that restarts meanwhile does not get it, since its connections are new.
 func (l *link) sendTo(w fleet.Worker) error {
-	if stalled := l.host.stalled.Load(); stalled != nil {
+	if stalled := l.stalled.Load(); stalled != nil {
 		run := l.sim.cluster.RunOf(w.ID)
 		select {
 		case <-*stalled:
--- a/internal/experiment/day/loss.go
+++ b/internal/experiment/day/loss.go
@@ -48,7 +48,7 @@
 // hosts and from the store.
 func (h *host) stall(duration time.Duration) {
 	over := make(chan struct{})
-	h.stalled.Store(&over)
+	h.link.Load().stalled.Store(&over)
 	h.sim.network.SetPartitioned(h.ip, true)
 	h.view.Set(memstore.Unresponsive, 0)
 	time.Sleep(duration)
--- a/internal/experiment/day/simulation.go
+++ b/internal/experiment/day/simulation.go
@@ -86,9 +86,7 @@
 	// day.
 	startedAt atomic.Int64
 	// link connects the current run of the program to the workers.
-	link *link
-	// stalled is closed when the stall of the host ends. It is nil before the first one.
-	stalled atomic.Pointer[chan struct{}]
+	link atomic.Pointer[link]
 }
 
 func newSimulation(hosts, workers int, logger *logrus.Logger) *simulation {
@@ -143,10 +141,11 @@
 // start starts the program on the host.
 func (h *host) start() error {
 	h.startedAt.Store(int64(h.sim.now()))
-	h.link = &link{sim: h.sim, host: h, killed: make(chan struct{})}
-	var workers fleet.Workers = h.link
+	l := &link{sim: h.sim, host: h, killed: make(chan struct{})}
+	h.link.Store(l)
+	var workers fleet.Workers = l
 	if h.sim.linkBytesPerSecond > 0 {
-		workers = newNarrowLink(h.link, h.sim.linkBytesPerSecond)
+		workers = newNarrowLink(l, h.sim.linkBytesPerSecond)
 	}
 	linkMbps := float64(wideLinkMbps)
 	if h.index < h.sim.narrowHosts {
@@ -156,7 +155,7 @@
 		Host: platform.HostID(fmt.Sprintf("host-%d", h.index)), Peer: netip.AddrPortFrom(h.ip, peerPort),
 		Network: h.sim.network.Host(h.ip), LinkMbps: linkMbps, Logger: h.sim.logger, Metrics: metrics.NewRegistry(),
 		Clock: h.sim.now, Bounds: bounds, Retention: retention, AppendBytes: memstore.MaxAppendBytes, Store: h.view, Workers: workers,
-		Machines: h.link, MachineLease: machineLease, Waves: func() fleet.Waves { return &waves{host: h} },
+		Machines: l, MachineLease: machineLease, Waves: func() fleet.Waves { return &waves{host: h} },
 		Registry:     func() fleet.Registry { return &registry{host: h} },
 		Declarations: newDeclarations(h.view),
 	})
@@ -173,7 +172,7 @@
 	if n == nil {
 		return
 	}
-	close(h.link.killed)
+	close(h.link.Load().killed)
 	h.sim.network.Kill(h.ip)
 	n.Stop()
 }
