--- a/internal/process/dispatch/renew_test.go
+++ b/internal/process/dispatch/renew_test.go
@@ -133,3 +133,28 @@
 		must.Greater(t, before, l.renewals[w.ID])
 	})
 }
+
+// TestFirstContactsPassLostWorkers bounds the time until a new owner has heard all workers that
+// answer: the lost ones, 64 of them per 0.2 s, take their turns before them.
+func TestFirstContactsPassLostWorkers(t *testing.T) {
+	for lost, limit := range map[int]time.Duration{50: 500 * time.Millisecond, 500: 2500 * time.Millisecond, 1350: 5 * time.Second} {
+		l := newLinkedWorkers(0)
+		for i := range lost {
+			l.lost[workerID(i)] = true
+		}
+		began := time.Time{}
+		withLinkedWorkers(t, l, 2*lost, func(*Dispatcher) {
+			began = time.Now().Add(-2 * time.Second)
+			time.Sleep(20 * time.Second)
+		})
+		last := time.Time{}
+		for _, at := range l.contacted {
+			if at.After(last) {
+				last = at
+			}
+		}
+		t.Log(lost, last.Sub(began))
+		must.MapLen(t, lost, l.contacted)
+		must.Less(t, limit, last.Sub(began))
+	}
+}
--- a/internal/scheduler/longwait_test.go
+++ b/internal/scheduler/longwait_test.go
@@ -8,6 +8,22 @@
 	"github.com/shoenig/test/must"
 )
 
+// TestSecondChangeOfOwnersIsNoLongWait: half of the workers were lost with their owner, and the
+// next owner was replaced after 3 s. A task that may run on one of them waited for 15 s after the
+// first change, although no owner before could prove its ownership without the other half.
+func TestSecondChangeOfOwnersIsNoLongWait(t *testing.T) {
+	h, _ := newTakeoverHarness(t, "w00", longRunningStep())
+	h.cluster.SetPartitioned("w01", true)
+	h.cluster.SetPartitioned("w02", true)
+	began := h.now
+	h.takeOver(false)
+	h.run(3 * time.Second)
+	h.takeOver(false)
+	h.runUntilStart(30 * time.Second)
+	must.Between(t, 5*time.Second, h.now-began, 9*time.Second)
+	h.checkViolations()
+}
+
 // TestHopelessJobsKeepNoOthersWaiting: jobs that fail everywhere set all workers aside, and a task
 // that lasts waited for 6 s.
 func TestHopelessJobsKeepNoOthersWaiting(t *testing.T) {
