--- a/internal/scheduler/longwait_test.go
+++ b/internal/scheduler/longwait_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
 // TestSecondChangeOfOwnersIsNoLongWait: half of the workers were lost with their owner, and the
@@ -60,3 +61,27 @@
 	must.Less(t, 3*time.Second, h.now-began)
 	h.checkViolations()
 }
+
+// TestStepGoesOnAfterEndThatNobodyRead: the only task of a step ends on a worker that is cut off,
+// shortly before its owner is replaced. The next step waits for the lease and for another run.
+func TestStepGoesOnAfterEndThatNobodyRead(t *testing.T) {
+	h := newHarness(t, 6)
+	h.run(time.Second)
+	h.cordonAllBut("w00")
+	first, second := batchStep(1), batchStep(1)
+	first.Checkpointing = false
+	second.DependsOn = []int{0}
+	id := h.submit(firstID, fixedLength(2), nil, first, second)
+	h.run(time.Second)
+	h.cluster.SetPartitioned("w00", true)
+	h.run(time.Second)
+	h.takeOver(false)
+	began := h.now
+	h.runUntilStart(10 * time.Second)
+	must.Between(t, 5*time.Second, h.now-began, 6*time.Second)
+	h.runUntilStart(10 * time.Second)
+	must.Less(t, 8*time.Second, h.now-began)
+	h.run(3 * time.Second)
+	must.Eq(t, job.Done, h.state(id))
+	h.checkViolations()
+}
