Conclude nothing from a list of ends that may go on

A worker lists its ends 500 at a time, the next ones once these are acknowledged. An attempt in neither list was given up as "not listed", and a new owner took the first lists for all that had ended.

- The owner knows for each worker up to when the ends have been listed: through the latest lists if they are not full, or else up to when an attempt whose end is listed had not ended yet.
An attempt that is not running any more is given up only if all ends before that have been listed.
So a list that never ends delays it by the ends before its own only.
Without acknowledgements it waits; a restart of the worker or the end of its leases ends that.
- A new owner counts a worker as known only once the ends before its first answer have been listed, and the record of a silent worker names all that may run there only then.
- Attempts that have ended behind the list do not stand still, are no causes of a crash, and their time of waiting does not count as run time.
- There is no pause between renewals while a list goes on: each one follows an append to the log.

The pause between renewals and the part for gangs have no test of their own.

--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -166,9 +166,19 @@
 	// Started identifies the worker's run, as in Worker; zero means unknown.
 	Started int64
 	Running []Running
-	Ended   []Ended
+	// Ended are the first MaxListedEnds ended attempts that are not acknowledged, in the order
+	// in which they have ended.
+	Ended []Ended
 }
 
+// MaxListedEnds is the number of ended attempts that a worker lists at a time. The next ones
+// are listed once these are acknowledged.
+const MaxListedEnds = 500
+
+// EndsGoOn reports whether the worker may have more ended attempts than it lists. What an
+// attempt that is in neither list has come to is then not known.
+func (r RenewReply) EndsGoOn() bool { return len(r.Ended) >= MaxListedEnds }
+
 // Workers sends orders to workers. An error matches platform.ErrOutcomeUnknown if
 // the order may have taken effect or may still do so; otherwise it certainly had
 // no effect.
--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -50,6 +50,13 @@
 	// startExpiresAt is from when on an unanswered start order is not carried out any more.
 	startExpiresAt Instant
 	startedAt      Instant
+	// unendedAt is when the latest lists arrived that contain the attempt as running, or when
+	// its first start order was sent: an end that was listed before that precedes its own.
+	// absentAt is when the first lists arrived that would contain it if it were running, or
+	// zero. endUnread is set if these were of the run that was to start it: it has ended, and
+	// its end may be behind those listed.
+	unendedAt, absentAt Instant
+	endUnread           bool
 	// ranBefore is for how long the attempt is known to have run under earlier owners.
 	ranBefore time.Duration
 	progress  int
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -165,13 +165,13 @@
 }
 
 // quietSince returns since when the attempt has shown no progress. The members of a gang make
-// progress only while all of them work; ok is false if they do not.
+// progress only while all of them work; ok is false if they do not, or if the attempt has ended.
 func (a *attempt) quietSince() (since Instant, ok bool) {
 	if !a.task.step.spec.Gang {
-		return max(a.progressedAt, a.startedAt, a.resumedAt), true
+		return max(a.progressedAt, a.startedAt, a.resumedAt), !a.endUnread
 	}
 	for _, t := range a.task.step.tasks {
-		if len(t.liveAttempts) != 1 || t.liveAttempts[0].phase != running || t.liveAttempts[0].cpuPercent == 0 {
+		if len(t.liveAttempts) != 1 || t.liveAttempts[0].phase != running || t.liveAttempts[0].cpuPercent == 0 || t.liveAttempts[0].endUnread {
 			return 0, false
 		}
 		member := t.liveAttempts[0]
--- a/internal/scheduler/journal.go
+++ b/internal/scheduler/journal.go
@@ -95,7 +95,7 @@
 			Worker: w.info.ID, Addr: w.info.Addr.String(), Service: w.info.Service, Capacity: w.info.Capacity,
 			Claim: s.claim, Run: w.run, Lost: w.takeLost(),
 		}
-		if refs := s.mayRun(w); w.silentFor(s.now) >= closeDelay && len(refs) <= maxMayRun {
+		if refs := s.mayRun(w); w.silentFor(s.now) >= closeDelay && len(refs) <= maxMayRun && s.attemptsKnown(s.now, w) {
 			if !w.closed {
 				u.closed = append(u.closed, w)
 			}
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -190,11 +190,11 @@
 const relaxedRenewPause = 350 * time.Millisecond
 
 // RenewPause returns how long to wait before the next renew order: nothing while tasks
-// wait for a worker, or if the worker runs batch tasks with reserved CPU, whose jobs
-// are urgent.
+// wait for a worker, while the worker's list of ends goes on, or if the worker runs batch
+// tasks with reserved CPU, whose jobs are urgent.
 func (s *Shard) RenewPause(id platform.WorkerID) time.Duration {
 	w, ok := s.workers[id]
-	if !ok || w.unresponsive() || s.waiting.hasTasks() || w.absenceAwaited() || w.absenceDue() || w.onTrial(s.now) || w.mayHarm() || s.confirmationStale(s.now) {
+	if !ok || w.unresponsive() || w.ended.goesOn || s.waiting.hasTasks() || w.absenceAwaited() || w.absenceDue() || w.onTrial(s.now) || w.mayHarm() || s.confirmationStale(s.now) {
 		return 0
 	}
 	for _, a := range w.attempts {
@@ -250,6 +250,7 @@
 			continue
 		}
 		w.closeRun()
+		w.earlierEndsAt = 0
 		for _, a := range w.attempts {
 			s.loseAttempt(now, a, "lease over")
 		}
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -45,6 +45,9 @@
 func (w *workerState) closeRun() {
 	w.lastRun = endedRun{heardAt: w.heardAt, leaving: w.mayLeave()}
 	for _, a := range w.attempts {
+		if a.endUnread {
+			continue
+		}
 		w.lastRun.add(a.lost(w.heardAt), a.task != nil && a.task.isSuspectBefore(workerRun{w.info.ID, a.run}))
 	}
 }
@@ -73,7 +76,7 @@
 }
 
 // mayRun reports whether the attempt may be running on its worker.
-func (a *attempt) mayRun() bool { return a.task != nil && (a.startSent || a.adopted) }
+func (a *attempt) mayRun() bool { return a.task != nil && !a.endUnread && (a.startSent || a.adopted) }
 
 // recordLoss records the attempts of a worker that has ceased to answer. If a large part of
 // the workers has, it is probably the owner that is cut off, and their records would fill
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -52,7 +52,7 @@
 		return StartAction{}, false
 	}
 	if !a.startSent {
-		a.run = a.worker.run
+		a.run, a.unendedAt = a.worker.run, now
 	}
 	action.Worker, action.Run, action.Repeated = a.worker.info, a.worker.run, a.startSent
 	a.orderedAt, a.startSent = now, true
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -37,6 +37,10 @@
 	for _, e := range lists.Ended {
 		s.applyEnd(now, w, e)
 	}
+	w.ended.goesOn = lists.EndsGoOn()
+	if !w.ended.goesOn {
+		w.ended.through = now
+	}
 	s.reconcileAttempts(now, sent, w, lists.Running)
 	s.observeLatencies(now, w)
 	s.adjustThrottles(now, w)
@@ -49,6 +53,9 @@
 func (s *Shard) markReconciled(now Instant, w *workerState) {
 	if !w.reconciled && w.previousClaim != 0 {
 		s.takeover.workerReconciled(now)
+		if !s.attemptsKnown(now, w) {
+			w.earlierEndsAt = now
+		}
 	}
 	w.reconciled = true
 	if (!w.enrolled || w.recordedRun != w.run) && !w.enrolling {
@@ -69,7 +76,8 @@
 	}
 	note := EndedNote{Task: e.Task, Attempt: e.Attempt, Worker: w.info.ID, Kind: e.Kind}
 	if a != nil {
-		note.Ran = now - a.startedAt
+		note.Ran = a.endedBy(now) - a.startedAt
+		w.ended.through = max(w.ended.through, a.unendedAt)
 		s.learnLength(a, e.Kind, note.Ran)
 		s.updateWorkerHealth(now, a, e.Kind)
 	}
@@ -186,14 +194,30 @@
 		if n, ok := listed[ref]; ok && n == a.number {
 			continue
 		}
-		if a.mustBeListed(sent) {
+		if !a.mustBeListed(sent) {
+			continue
+		}
+		if a.absentAt == 0 {
+			a.absentAt, a.endUnread = now, a.run == w.run
+		}
+		if w.ended.through >= a.absentAt {
 			s.loseAttempt(now, a, "not listed")
 		}
 	}
 }
 
+// endedBy returns the earlier of now and when the attempt is known to have ended: its end may be
+// listed long after that.
+func (a *attempt) endedBy(now Instant) Instant {
+	if a.endUnread {
+		return a.absentAt
+	}
+	return now
+}
+
 // mustBeListed reports whether lists requested at the time sent contain the attempt if it
-// runs or may still start. Stop orders may stay unanswered for as long as the worker is up.
+// runs or may still start. If it has ended, its end may be behind those listed. Stop orders may
+// stay unanswered for as long as the worker is up.
 func (a *attempt) mustBeListed(sent Instant) bool {
 	switch a.phase {
 	case running, stopped:
@@ -236,7 +260,7 @@
 	if a == nil {
 		a = s.adoptAttempt(now, w, t, r)
 	}
-	a.run = w.run
+	a.run, a.unendedAt, a.absentAt, a.endUnread = w.run, now, 0, false
 	if a.phase == starting {
 		a.phase, a.confirmedAt = running, now
 		a.startedAt = now
--- a/internal/scheduler/silent.go
+++ b/internal/scheduler/silent.go
@@ -27,7 +27,7 @@
 // only until its leases have run out. The worker is used again once a later record is in the
 // log, so none is written while the log is out of reach.
 func (s *Shard) closeSilent(now Instant, w *workerState) {
-	if w.closed || !w.enrolled || w.silentFor(now) < closeDelay || s.confirmationStale(now) || s.nearlyAllSilent() {
+	if w.closed || !w.enrolled || w.silentFor(now) < closeDelay || !s.attemptsKnown(now, w) || s.confirmationStale(now) || s.nearlyAllSilent() {
 		return
 	}
 	s.journal.enroll(w)
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -240,10 +240,15 @@
 // shows. What was to expire later may have been extended.
 func (s *Shard) confirmedTime(now Instant) Instant { return min(now, s.proof.confirmedAt) }
 
-// attemptsKnown reports whether every attempt that may run on a worker is tracked.
+// attemptsKnown reports whether every attempt that may run on a worker is tracked, and the end
+// of every other one was listed if its lease has not expired.
 func (s *Shard) attemptsKnown(now Instant, w *workerState) bool {
-	if w.reconciled || w.gone {
+	switch {
+	case w.gone:
 		return true
+	case w.reconciled:
+		// This owner may have extended the leases of earlier ones.
+		return w.ended.through >= w.earlierEndsAt
 	}
 	confirmed := s.confirmedTime(now)
 	return s.takeover.leasesExpired(confirmed, w.previousClaim) || w.closedBefore(confirmed-maxResidualLease)
--- a/internal/scheduler/unheard.go
+++ b/internal/scheduler/unheard.go
@@ -15,9 +15,9 @@
 	// that have answered. Quorum is set if these bound the leases of the owner before.
 	Enrolled, Answered int
 	Quorum             bool
-	// Unheard counts the workers that may run attempts that are not tracked, Named those of
-	// them whose tasks the log names, and WithoutEntry those without an entry in the
-	// platform's store.
+	// Unheard counts the workers that may run attempts that are not tracked, or may have ends of
+	// such attempts behind those that they list, Named those of them whose tasks the log names,
+	// and WithoutEntry those without an entry in the platform's store.
 	Unheard, Named, WithoutEntry int
 	// OldestClaim is the lowest claim of the owners that were the last to reach one of them.
 	OldestClaim uint32
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -42,6 +42,10 @@
 	runSeenAt      Instant
 	// reconciled is set once the worker's lists were read under this owner's token.
 	reconciled bool
+	// earlierEndsAt is when the first of these lists arrived, or zero if no end before that can
+	// matter to this owner. Until the ends before that have been listed, attempts of earlier
+	// owners may have ended of which this one does not know.
+	earlierEndsAt Instant
 	// listsReceived is when the latest lists arrived, listsRequested when they were
 	// requested, and listsRun the run that they are of.
 	listsReceived  Instant
@@ -197,7 +201,9 @@
 	for _, a := range w.attempts {
 		if a.confirmedAt != 0 && a.confirmedAt < w.listsRequested {
 			s.loseAttempt(now, a, "worker restarted")
+			continue
 		}
+		a.absentAt, a.endUnread = 0, false
 	}
 	for ref, start := range w.unansweredStarts {
 		if now < start.expiresAt {
@@ -263,6 +269,10 @@
 	// sent is the highest end number that a renew order has acknowledged, and
 	// acknowledged that of the last answered one.
 	sent, acknowledged uint64
+	// goesOn is set if there may be ends behind those listed last. All ends before the lists
+	// that arrived at the time through have been listed.
+	goesOn  bool
+	through Instant
 }
 
 // pendingEnd says that the ends up to endNumber are recorded once the journal's change
