Tell later owners at once that an earlier one has lost its quorum

An owner recorded each 2 s only that so many workers have accepted its token that the owner before has no quorum left. One that was replaced within 2 s did not, and the next owner waited 15.2 s from the first change. It records that once, as soon as it is so. An age of zero meant that nothing had happened, so the least one is 1 ns now.

--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -84,7 +84,8 @@
 		if at == 0 {
 			return 0
 		}
-		return certainAge(now, at)
+		// What has just happened is known, though its age is not.
+		return max(1, certainAge(now, at))
 	}
 	var replaced time.Duration
 	for i, p := range slices.Backward(recent) {
@@ -119,9 +120,11 @@
 func (s *Shard) takePastTerms(now Instant) []job.PastTerm {
 	t := &s.takeover
 	due := max(t.claimRecordedAt, t.termsTakenAt) + pastTermsPeriod
-	if len(t.predecessors) == 0 || t.claimRecordedAt == 0 || t.termsFinal || now < due {
+	untold := t.successionAt != 0 && !t.successionTold
+	if len(t.predecessors) == 0 || t.claimRecordedAt == 0 || t.termsFinal || now < due && !untold {
 		return nil
 	}
+	t.successionTold = t.successionAt != 0
 	t.termsFinal = t.unheardNotes.ended
 	if t.termsFinal && t.termsTakenAt == 0 {
 		return nil
@@ -149,6 +152,8 @@
 	// termsFinal is set once they need not be any more.
 	termsTakenAt Instant
 	termsFinal   bool
+	// successionTold is set once successionAt was taken to be recorded.
+	successionTold bool
 }
 
 // PredecessorEnded records that the owner with the given claim has sent its last order: its
