Failing tests: dismissed workers and the quorum of an owner without the log

TestDismissedWorkersCountForOwnerThatActsOn: a violation 8.55 s after the first change of owners (two runs of one task). TestIdleWorkersKeepQuorumWhileLogIsOutOfReach: quorum false, the task does not run any more.

--- /dev/null
+++ b/internal/scheduler/review_test.go
@@ -0,0 +1,103 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/siskinvane/siskinvane/internal/platform"
+	"github.com/siskinvane/siskinvane/internal/scheduler"
+)
+
+// TestDismissedWorkersCountForOwnerThatActsOn: the first owner closes three of six workers, loses
+// the log, and hears them again: with a fourth one they are its quorum for 10 s. The second owner
+// deletes their records once their leases have run out. The third one takes the two that it
+// reaches of the three workers left in the log for a quorum, and starts the task of the fourth
+// worker again while the first owner still extends its lease.
+func TestDismissedWorkersCountForOwnerThatActsOn(t *testing.T) {
+	h := newHarness(t, 6)
+	h.run(200 * time.Millisecond)
+	h.shard.SetCordoned([]platform.WorkerID{"w03", "w04", "w05"})
+	step := batchStep(3)
+	step.Checkpointing, step.MaxPerWorker = false, 1
+	h.submit(secondID, fixedLength(100), nil, step)
+	h.run(400 * time.Millisecond)
+	h.cordonAllBut("w03")
+	h.submit(firstID, fixedLength(100), nil, longRunningStep())
+	h.run(400 * time.Millisecond)
+	must.Eq(t, 4, h.cluster.Starts())
+	h.cordonAllBut("")
+	closed := []platform.WorkerID{"w00", "w01", "w02"}
+	reached := append([]platform.WorkerID{"w03"}, closed...)
+	partition := func(p bool, ids ...platform.WorkerID) {
+		for _, w := range ids {
+			h.cluster.SetPartitioned(w, p)
+		}
+	}
+	partition(true, closed...)
+	h.run(4 * time.Second)
+	h.restartedHosts = true
+	first, confirmedAt := h.shard, h.now
+	partition(true, "w03")
+	actOn := func() {
+		partition(false, reached...)
+		defer partition(true, reached...)
+		first.Plan(h.now, h.now.Milliseconds(), 0)
+		age := h.now - confirmedAt
+		if age > scheduler.AuthorityBound || age > scheduler.AuthorityWindow && !first.HasQuorum(h.now) {
+			return
+		}
+		for _, w := range reached {
+			_, order, ok := first.RenewOrder(h.now, w)
+			must.True(t, ok)
+			lists, answered := h.cluster.Renew(h.now, w, order)
+			must.True(t, answered)
+			first.RenewAnswered(h.now, h.now, w, lists)
+		}
+	}
+	began := h.now
+	act := func(d time.Duration) {
+		for end := h.now + d; h.now < end; {
+			h.tick()
+			actOn()
+		}
+	}
+	h.takeOver(false)
+	act(3 * time.Second)
+	t.Log("listed after the second owner:", len(h.enrolled), "first has a quorum:", first.HasQuorum(h.now))
+	h.takeOver(false)
+	for h.now < began+20*time.Second && len(h.cluster.Violations()) == 0 {
+		act(50 * time.Millisecond)
+	}
+	t.Log(h.now-began, h.cluster.Violations())
+	h.checkViolations()
+}
+
+// TestIdleWorkersKeepQuorumWhileLogIsOutOfReach: three idle workers of six miss the calls of half a
+// second while the store takes no records. They answer again, but count no more for the quorum,
+// and the owner stops extending the lease of a fourth one.
+func TestIdleWorkersKeepQuorumWhileLogIsOutOfReach(t *testing.T) {
+	h := newHarness(t, 6)
+	h.run(200 * time.Millisecond)
+	h.cordonAllBut("w05")
+	id := h.submit(firstID, fixedLength(100), nil, longRunningStep())
+	h.run(400 * time.Millisecond)
+	h.cordonAllBut("")
+	h.recordingPaused, h.readingPaused = true, true
+	began := h.now
+	h.run(1500 * time.Millisecond)
+	for _, w := range []platform.WorkerID{"w00", "w01", "w02"} {
+		h.cluster.SetPartitioned(w, true)
+	}
+	h.run(500 * time.Millisecond)
+	for _, w := range []platform.WorkerID{"w00", "w01", "w02"} {
+		h.cluster.SetPartitioned(w, false)
+	}
+	h.run(7*time.Second - (h.now - began))
+	quorum := h.shard.HasQuorum(h.now)
+	h.run(2 * time.Second)
+	t.Log("quorum", quorum, "running", h.cluster.Running(id))
+	must.True(t, quorum)
+	must.Eq(t, 1, h.cluster.Running(id))
+	h.checkViolations()
+}
