--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -400,7 +400,7 @@
 	total := len(s.journal.listed)
 	var answered []Instant
 	for _, w := range s.workers {
-		if w.enrolled && w.recordedRun == w.run && w.listsRequested != 0 {
+		if w.enrolled && !w.closed && w.recordedRun == w.run && w.listsRequested != 0 {
 			answered = append(answered, w.listsRequested)
 		}
 	}
