--- a/internal/scheduler/review_test.go
+++ b/internal/scheduler/review_test.go
@@ -101,3 +101,24 @@
 	must.Eq(t, 1, h.cluster.Running(id))
 	h.checkViolations()
 }
+
+// TestRestartAfterTakeoverIsNoLongWait: a worker that the owner has heard since its takeover
+// restarts, as its entry says, and is not reached. The next step of a job from before the takeover
+// waited for it, although nothing that an earlier owner has started there is left.
+func TestRestartAfterTakeoverIsNoLongWait(t *testing.T) {
+	h := newHarness(t, 6)
+	h.run(500 * time.Millisecond)
+	h.maxStarts = 0
+	h.submit(firstID, fixedLength(1), nil, batchStep(1))
+	h.run(100 * time.Millisecond)
+	h.takeOver(false)
+	h.run(time.Second)
+	h.cluster.Crash("w00")
+	h.cluster.Boot(h.now, "w00")
+	h.cluster.SetPartitioned("w00", true)
+	h.syncWorkers()
+	h.run(300 * time.Millisecond)
+	h.maxStarts = unlimitedStarts
+	must.Less(t, 3*time.Second, h.runUntilStart(20*time.Second))
+	h.checkViolations()
+}
