--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -215,7 +215,7 @@
 	w.enrolling = false
 	// The lease of an order sent before the restart was counted on the old run's clock.
 	w.clock = workerClock{readAt: now, earlierLease: s.bounds.MaxLease}
-	w.ended = endedLog{}
+	w.ended, w.earlierEndsAt = endedLog{}, 0
 	w.unresponsiveSince = 0
 	w.health = health{}
 }
