Proposal: own leases count as expired once the log confirms the owner after that

A task could run twice (TWICE). An owner restarts the tasks of a silent worker elsewhere once the leases that it has granted there are over. It acts for up to 2.5 s without a read of the log, and for 10 s while two thirds of the workers answer. A later owner that reaches the silent worker extends the leases there meanwhile.

Now the read of the log that shows no later owner has to be later than the end of the leases.

TestOwnLeasesExtendedByLaterOwner fails without the change: 1 violation (TWICE).

--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -246,7 +246,7 @@
 			continue
 		}
 		s.dismissSilent(now, w)
-		if !w.unresponsive() || w.clock.readAt == 0 || now < w.clock.leasesExpireAt()+leaseExpiryMargin {
+		if !w.unresponsive() || w.clock.readAt == 0 || s.confirmedTime(now) < w.clock.leasesExpireAt()+leaseExpiryMargin {
 			continue
 		}
 		w.closeRun()
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -496,3 +496,14 @@
 	h.checkViolations()
 	must.Eq(t, 1, h.cluster.Running(id))
 }
+
+// TestOwnLeasesExtendedByLaterOwner: an owner without the log restarted a task of a silent worker
+// once the leases that it had granted there were over. A later owner had extended them.
+func TestOwnLeasesExtendedByLaterOwner(t *testing.T) {
+	h, id := newTakeoverHarness(t, "w00", longRunningStep())
+	h.run(4 * time.Second)
+	h.extendUnseen("w00")
+	h.run(scheduler.AuthorityWindow)
+	h.checkViolations()
+	must.Eq(t, 1, h.cluster.Running(id))
+}
