Failing tests: a cut-off owner deletes the records of all idle workers; dismissed workers do not end a wait

TestCutOffOwnerKeepsRecordsOfIdleWorkers: 0 of 64 workers are in the log after 0.5 s. TestDismissedWorkersEndWaitOfOwner: 15.25 s, though five of six workers answer or were closed.

--- a/internal/scheduler/review_test.go
+++ b/internal/scheduler/review_test.go
@@ -122,3 +122,59 @@
 	must.Less(t, 3*time.Second, h.runUntilStart(20*time.Second))
 	h.checkViolations()
 }
+
+// TestCutOffOwnerKeepsRecordsOfIdleWorkers: an owner that no worker answers for half a second is
+// probably cut off. It deletes the records of all idle workers and writes them again afterwards,
+// which fills its link.
+func TestCutOffOwnerKeepsRecordsOfIdleWorkers(t *testing.T) {
+	h := newHarness(t, 64)
+	h.run(500 * time.Millisecond)
+	partition := func(p bool) {
+		for _, w := range h.cluster.Entries() {
+			h.cluster.SetPartitioned(w.ID, p)
+		}
+	}
+	partition(true)
+	h.run(500 * time.Millisecond)
+	must.Eq(t, 64, len(h.enrolled), must.Sprint("workers in the log"))
+}
+
+// TestDismissedWorkersEndWaitOfOwner: three workers closed by the owner before are dismissed and
+// then answer. They count no more, so the new owner waits 15 s for a fourth worker as if it had not
+// heard them.
+func TestDismissedWorkersEndWaitOfOwner(t *testing.T) {
+	h := newHarness(t, 6)
+	h.run(200 * time.Millisecond)
+	h.shard.SetCordoned([]platform.WorkerID{"w03", "w04", "w05"})
+	step := batchStep(3)
+	step.Checkpointing, step.MaxPerWorker = false, 1
+	h.submit(secondID, fixedLength(100), nil, step)
+	h.run(400 * time.Millisecond)
+	h.cordonAllBut("w03")
+	h.submit(firstID, fixedLength(100), nil, longRunningStep())
+	h.run(400 * time.Millisecond)
+	must.Eq(t, 4, h.cluster.Starts())
+	h.cordonAllBut("")
+	closed := []platform.WorkerID{"w00", "w01", "w02"}
+	for _, w := range closed {
+		h.cluster.SetPartitioned(w, true)
+	}
+	h.run(4500 * time.Millisecond)
+	h.cluster.SetPartitioned("w03", true)
+	h.cluster.SetPartitioned("w04", true)
+	began := h.now
+	h.takeOver(false)
+	h.run(1500 * time.Millisecond)
+	for _, w := range closed {
+		h.cluster.SetPartitioned(w, false)
+	}
+	for h.now < began+20*time.Second && h.cluster.Running(firstID) > 0 {
+		h.tick()
+	}
+	for h.now < began+20*time.Second && h.cluster.Running(firstID) == 0 {
+		h.tick()
+	}
+	t.Log(h.now-began, len(h.enrolled))
+	h.checkViolations()
+	must.Less(t, 8*time.Second, h.now-began)
+}
