Count closed workers, and those of earlier owners, out of the quorum of the owner before

An owner's quorum consists of open workers that it has enrolled itself, so what the log lists as closed or as last reached by an earlier owner can be none of them: the new owner counts those that may still answer the owner before, and needs no answer of the others. TestDismissedWorkersEndWaitOfOwner: 15.25 s before. An owner that nearly no worker answers dismisses none: TestCutOffOwnerKeepsRecordsOfIdleWorkers, 0 of 64 workers in the log before.

--- a/internal/scheduler/silent.go
+++ b/internal/scheduler/silent.go
@@ -49,6 +49,9 @@
 // enrolled again once it answers. Otherwise later owners would count and await it for as long
 // as it has an entry.
 func (s *Shard) dismissSilent(now Instant, w *workerState) {
+	if s.nearlyAllSilent() {
+		return
+	}
 	if !w.enrolled && w.previousClaim == 0 || w.enrolling || w.silentFor(now) < closeDelay || s.confirmationStale(now) || !s.idle(now, w) {
 		return
 	}
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -147,7 +147,9 @@
 	// enrolledWorkers counts the workers that earlier owners had enrolled,
 	// reconciledWorkers those of them that have answered.
 	enrolledWorkers, reconciledWorkers int
-	unheardNotes                       unheardNotes
+	// openWorkers counts the workers that may still answer the owner before.
+	openWorkers  int
+	unheardNotes unheardNotes
 	// termsTakenAt is when the terms of earlier owners were last taken to be recorded again.
 	// termsFinal is set once they need not be any more.
 	termsTakenAt Instant
@@ -172,12 +174,28 @@
 
 // workerReconciled records that a worker enrolled by an earlier owner has answered
 // under this owner's token.
-func (t *takeover) workerReconciled(now Instant) {
+func (t *takeover) workerReconciled(now Instant, w *workerState) {
 	t.reconciledWorkers++
+	if t.mayAnswerPredecessor(w) {
+		t.openWorkers--
+	}
 	if t.quorumAt == 0 && job.IsQuorum(t.reconciledWorkers, t.enrolledWorkers) {
 		t.quorumAt = now
 	}
-	if t.successionAt == 0 && !job.IsQuorum(t.enrolledWorkers-t.reconciledWorkers, t.enrolledWorkers) {
+	t.updateSuccession(now)
+}
+
+// mayAnswerPredecessor reports whether an enrolled worker may count for the quorum of the owner
+// before: this one has recorded it, open, as the last to reach it.
+func (t *takeover) mayAnswerPredecessor(w *workerState) bool {
+	last := len(t.predecessors) - 1
+	return last >= 0 && w.previousClaim == t.predecessors[last].Claim && w.onlyMayRun == nil
+}
+
+// updateSuccession sets successionAt once the workers that may still answer the owner before are
+// no quorum of those that the log lists.
+func (t *takeover) updateSuccession(now Instant) {
+	if t.successionAt == 0 && !job.IsQuorum(t.openWorkers, t.enrolledWorkers) {
 		t.successionAt = now
 	}
 }
