Each earlier owner's quorum is judged on the workers that it may still count

For owners that bound their leases an earlier owner has no quorum left once the open workers that the log lists as last reached by it, and that have not answered, are under two thirds of those listed as reached by it or before. Its successors read that in the log.

TestReleasedOwnerDoesNotEndEarlierOne cut half of the workers off, with which the first owner has no quorum any more; it cuts two thirds off now, with the same bounds.

--- a/internal/scheduler/review_test.go
+++ b/internal/scheduler/dismiss_test.go
@@ -178,3 +178,67 @@
 	h.checkViolations()
 	must.Less(t, 8*time.Second, h.now-began)
 }
+
+// TestTrackedTaskOnWorkerOfLaterOwner: an owner without the log loses a worker, on which a later
+// owner extends the lease of its task. It still reaches five of six workers, and starts the task
+// again once the lease that it had extended itself is over.
+func TestTrackedTaskOnWorkerOfLaterOwner(t *testing.T) {
+	h, id := newTakeoverHarness(t, "w00", longRunningStep())
+	h.cluster.SetPartitioned("w00", false)
+	h.run(10 * time.Second)
+	h.cluster.SetPartitioned("w00", true)
+	h.run(time.Second)
+	h.recordingPaused = true
+	h.extendUnseen("w00")
+	confirmedAt := h.now
+	h.run(6 * time.Second)
+	t.Log(h.cluster.Violations(), "age of the last read", h.now-confirmedAt, "quorum", h.shard.HasQuorum(h.now))
+	h.checkViolations()
+	must.Eq(t, 1, h.cluster.Running(id))
+}
+
+// TestIdleWorkersStayUsableWhileNothingIsRecorded: the store answers reads but takes no records.
+// Idle workers that miss the calls of half a second get no task until it does.
+func TestIdleWorkersStayUsableWhileNothingIsRecorded(t *testing.T) {
+	h := newHarness(t, 6)
+	h.run(500 * time.Millisecond)
+	h.maxStarts = 0
+	h.submit(firstID, fixedLength(1), nil, batchStep(1))
+	h.run(200 * time.Millisecond)
+	h.recordingPaused = true
+	for i := range 6 {
+		id := workerInfo(i).ID
+		h.cluster.SetPartitioned(id, true)
+		h.run(500 * time.Millisecond)
+		h.cluster.SetPartitioned(id, false)
+	}
+	h.run(500 * time.Millisecond)
+	h.maxStarts = unlimitedStarts
+	must.Less(t, 3*time.Second, h.runUntilStart(6*time.Second))
+	h.checkViolations()
+}
+
+// TestSilentWorkersAreCountedRarely: each unanswered renewal, and each worker in a plan, counted the
+// silent workers among all: 0.5 s for 3,000 renewals, and 0.27 s for a plan.
+func TestSilentWorkersAreCountedRarely(t *testing.T) {
+	const workers = 3000
+	h := newHarness(t, workers)
+	h.run(150 * time.Millisecond)
+	for i := range workers {
+		h.cluster.SetPartitioned(workerInfo(i).ID, true)
+	}
+	h.run(200 * time.Millisecond)
+	began := time.Now()
+	for i := range workers {
+		h.shard.RenewFailed(h.now, h.now, workerInfo(i).ID)
+	}
+	renewals := time.Since(began)
+	began = time.Now()
+	for i := range 10 {
+		now := h.now + time.Duration(i+1)*200*time.Millisecond
+		h.shard.Plan(now, now.Milliseconds(), 0)
+	}
+	t.Log(renewals, time.Since(began))
+	must.Less(t, 100*time.Millisecond, renewals)
+	must.Less(t, time.Second, time.Since(began))
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -67,7 +67,7 @@
 	s.now, s.nowMS = now, nowMS
 	full := s.dirty.beginPlan(now)
 	if full {
-		s.takeover.updateSuccession(now)
+		s.updateSuccessions(now)
 		s.expireLeases(now)
 		s.forgetEmptied(now)
 		s.updateBatchPeak(now)
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -52,7 +52,7 @@
 // worker.
 func (s *Shard) markReconciled(now Instant, w *workerState) {
 	if !w.reconciled && w.previousClaim != 0 {
-		s.takeover.workerReconciled(now, w)
+		s.takeover.workerReconciled(now)
 		if !s.attemptsKnown(now, w) {
 			w.earlierEndsAt = now
 		}
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -51,6 +51,7 @@
 	takenOverAt Instant
 	takeover    takeover
 	proof       ownershipProof
+	silentCheck silentCheck
 
 	// now is the time of the latest plan or answer.
 	now Instant
--- a/internal/scheduler/silent.go
+++ b/internal/scheduler/silent.go
@@ -10,6 +10,9 @@
 	// closeDelay is for how long a worker has to be silent before the log says that nothing
 	// starts there. A lost answer or a broken connection is shorter.
 	closeDelay = 150 * time.Millisecond
+	// dismissDelay is for how long a worker on which nothing can be running has to be silent before
+	// its record is deleted. It cannot be used again before it is enrolled.
+	dismissDelay = time.Second
 	// maxMayRun bounds the tasks that the record of a closed worker names.
 	maxMayRun = 2000
 )
@@ -27,32 +30,42 @@
 // only until its leases have run out. The worker is used again once a later record is in the
 // log, so none is written while the log is out of reach.
 func (s *Shard) closeSilent(now Instant, w *workerState) {
-	if w.closed || !w.enrolled || w.silentFor(now) < closeDelay || !s.attemptsKnown(now, w) || s.confirmationStale(now) || s.nearlyAllSilent() {
+	if w.closed || !w.enrolled || w.silentFor(now) < closeDelay || !s.attemptsKnown(now, w) || s.confirmationStale(now) || s.nearlyAllSilent(now) {
 		return
 	}
 	s.journal.enroll(w)
 }
 
+// silentCheckInterval is how long the count of silent workers is cached.
+const silentCheckInterval = 50 * time.Millisecond
+
+// silentCheck caches whether nearly all workers are silent.
+type silentCheck struct {
+	at        Instant
+	nearlyAll bool
+}
+
 // nearlyAllSilent reports whether fewer than one in isolationFactor of the workers answers. It
 // is probably the owner that is cut off, and records of them all would fill its link.
-func (s *Shard) nearlyAllSilent() bool {
+func (s *Shard) nearlyAllSilent(now Instant) bool {
+	if now < s.silentCheck.at+silentCheckInterval {
+		return s.silentCheck.nearlyAll
+	}
 	silent := 0
 	for _, w := range s.workers {
 		if w.unresponsive() {
 			silent++
 		}
 	}
-	return isolationFactor*(len(s.workers)-silent) < len(s.workers)
+	s.silentCheck = silentCheck{at: now, nearlyAll: isolationFactor*(len(s.workers)-silent) < len(s.workers)}
+	return s.silentCheck.nearlyAll
 }
 
 // dismissSilent deletes the record of a silent worker on which nothing can be running. It is
 // enrolled again once it answers. Otherwise later owners would count and await it for as long
 // as it has an entry.
 func (s *Shard) dismissSilent(now Instant, w *workerState) {
-	if s.nearlyAllSilent() {
-		return
-	}
-	if !w.enrolled && w.previousClaim == 0 || w.enrolling || w.silentFor(now) < closeDelay || s.confirmationStale(now) || !s.idle(now, w) {
+	if !w.enrolled && w.previousClaim == 0 || w.enrolling || w.silentFor(now) < dismissDelay || s.confirmationStale(now) || s.nearlyAllSilent(now) || !s.idle(now, w) {
 		return
 	}
 	w.enrolled, w.closed, w.lossRecorded = false, false, false
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -54,8 +54,8 @@
 	Released bool
 	// EndedAt is when the owner was known to have sent its last order, or zero.
 	EndedAt Instant
-	// SuccessionAt is the latest time by which more than a third of the workers that the owner had
-	// enrolled had accepted the next one's token, or zero.
+	// SuccessionAt is the latest time by which the owner had no quorum left, or zero: too many of
+	// the workers had accepted a later token, or were closed.
 	SuccessionAt Instant
 	// BoundsLeases is set if the owner's leases end at most maxLeaseAfterProof after its last
 	// proof of ownership.
@@ -90,10 +90,7 @@
 	var replaced time.Duration
 	for i, p := range slices.Backward(recent) {
 		if i == len(recent)-1 {
-			p.ReplacedAt, p.SuccessionAt = t.claimRecordedAt, 0
-			if t.claimRecordedAt != 0 && t.successionAt != 0 {
-				p.SuccessionAt = max(t.successionAt, t.claimRecordedAt)
-			}
+			p.ReplacedAt = t.claimRecordedAt
 		}
 		replaced = max(replaced, age(p.ReplacedAt))
 		terms[i] = job.PastTerm{
@@ -120,11 +117,11 @@
 func (s *Shard) takePastTerms(now Instant) []job.PastTerm {
 	t := &s.takeover
 	due := max(t.claimRecordedAt, t.termsTakenAt) + pastTermsPeriod
-	untold := t.successionAt != 0 && !t.successionTold
+	untold := t.successionAt() != 0 && !t.successionTold
 	if len(t.predecessors) == 0 || t.claimRecordedAt == 0 || t.termsFinal || now < due && !untold {
 		return nil
 	}
-	t.successionTold = t.successionAt != 0
+	t.successionTold = t.successionAt() != 0
 	t.termsFinal = t.unheardNotes.ended
 	if t.termsFinal && t.termsTakenAt == 0 {
 		return nil
@@ -141,15 +138,12 @@
 	// claimRecordedAt is when this owner's record was in the log, or zero.
 	claimRecordedAt Instant
 	// quorumAt is when a quorum of the workers enrolled by earlier owners had accepted
-	// this owner's token, or zero. successionAt is when so many had that no quorum of the
-	// owner before is left.
-	quorumAt, successionAt Instant
+	// this owner's token, or zero.
+	quorumAt Instant
 	// enrolledWorkers counts the workers that earlier owners had enrolled,
 	// reconciledWorkers those of them that have answered.
 	enrolledWorkers, reconciledWorkers int
-	// openWorkers counts the workers that may still answer the owner before.
-	openWorkers  int
-	unheardNotes unheardNotes
+	unheardNotes                       unheardNotes
 	// termsTakenAt is when the terms of earlier owners were last taken to be recorded again.
 	// termsFinal is set once they need not be any more.
 	termsTakenAt Instant
@@ -158,6 +152,14 @@
 	successionTold bool
 }
 
+// successionAt returns the latest time by which the owner before had no quorum left, or zero.
+func (t *takeover) successionAt() Instant {
+	if len(t.predecessors) == 0 {
+		return 0
+	}
+	return t.predecessors[len(t.predecessors)-1].SuccessionAt
+}
+
 // PredecessorEnded records that the owner with the given claim has sent its last order: its
 // process has ended or given up the shard.
 func (s *Shard) PredecessorEnded(now Instant, claim uint32) {
@@ -174,29 +176,40 @@
 
 // workerReconciled records that a worker enrolled by an earlier owner has answered
 // under this owner's token.
-func (t *takeover) workerReconciled(now Instant, w *workerState) {
+func (t *takeover) workerReconciled(now Instant) {
 	t.reconciledWorkers++
-	if t.mayAnswerPredecessor(w) {
-		t.openWorkers--
-	}
 	if t.quorumAt == 0 && job.IsQuorum(t.reconciledWorkers, t.enrolledWorkers) {
 		t.quorumAt = now
 	}
-	t.updateSuccession(now)
 }
 
-// mayAnswerPredecessor reports whether an enrolled worker may count for the quorum of the owner
-// before: this one has recorded it, open, as the last to reach it.
-func (t *takeover) mayAnswerPredecessor(w *workerState) bool {
-	last := len(t.predecessors) - 1
-	return last >= 0 && w.previousClaim == t.predecessors[last].Claim && w.onlyMayRun == nil
-}
-
-// updateSuccession sets successionAt once the workers that may still answer the owner before are
-// no quorum of those that the log lists.
-func (t *takeover) updateSuccession(now Instant) {
-	if t.successionAt == 0 && !job.IsQuorum(t.openWorkers, t.enrolledWorkers) {
-		t.successionAt = now
+// updateSuccessions notes which earlier owners can have no quorum any more. It consists of open
+// workers that the log lists as last reached by that owner and that have not answered this one;
+// that owner counts at least all workers that the log lists as last reached by it or before.
+func (s *Shard) updateSuccessions(now Instant) {
+	t := &s.takeover
+	if t.claimRecordedAt == 0 || t.unheardNotes.ended {
+		return
+	}
+	open, listed := map[uint32]int{}, map[uint32]int{}
+	for _, w := range s.workers {
+		listed[w.previousClaim]++
+		if !w.reconciled && w.onlyMayRun == nil {
+			open[w.previousClaim]++
+		}
+	}
+	delete(listed, 0)
+	for i := range t.predecessors {
+		p := &t.predecessors[i]
+		all := 0
+		for claim, n := range listed {
+			if claim <= p.Claim {
+				all += n
+			}
+		}
+		if p.SuccessionAt == 0 && !job.IsQuorum(open[p.Claim], all) {
+			p.SuccessionAt = now
+		}
 	}
 }
 
@@ -209,20 +222,14 @@
 	if t.claimRecordedAt == 0 {
 		return false
 	}
+	// A quorum under a later owner may be one of workers that it has enrolled first.
 	bounded := t.boundsLeases(claim)
-	afterQuorum := maxLeaseAfterQuorum
-	if bounded {
-		afterQuorum = maxLeaseAfterSuccession
-	}
-	if t.quorumAt != 0 && now >= max(t.quorumAt, t.claimRecordedAt)+afterQuorum {
+	if !bounded && t.quorumAt != 0 && now >= max(t.quorumAt, t.claimRecordedAt)+maxLeaseAfterQuorum {
 		return true
 	}
 	last := len(t.predecessors) - 1
-	if bounded && claim == t.predecessors[last].Claim && t.successionAt != 0 && now >= max(t.successionAt, t.claimRecordedAt)+maxLeaseAfterSuccession {
-		return true
-	}
 	for i, p := range t.predecessors {
-		if p.Claim > claim && p.QuorumAt != 0 && now >= p.QuorumAt+afterQuorum {
+		if !bounded && p.Claim > claim && p.QuorumAt != 0 && now >= p.QuorumAt+maxLeaseAfterQuorum {
 			return true
 		}
 		if p.Claim < claim {
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -358,6 +358,7 @@
 			h, _ := newTakeoverHarness(t, "w00", longRunningStep())
 			h.cluster.SetPartitioned("w01", true)
 			h.cluster.SetPartitioned("w02", true)
+			h.cluster.SetPartitioned("w03", true)
 			replacedAt := h.now
 			h.takeOver(false)
 			h.run(500 * time.Millisecond)
--- a/internal/scheduler/unheard.go
+++ b/internal/scheduler/unheard.go
@@ -29,7 +29,7 @@
 	if t.unheardNotes.ended || now < max(s.takenOverAt, t.unheardNotes.latest)+unheardNoteInterval {
 		return
 	}
-	n := UnheardNote{After: now - s.takenOverAt, Enrolled: t.enrolledWorkers, Answered: t.reconciledWorkers, Quorum: t.quorumAt != 0 || t.successionAt != 0}
+	n := UnheardNote{After: now - s.takenOverAt, Enrolled: t.enrolledWorkers, Answered: t.reconciledWorkers, Quorum: t.quorumAt != 0 || t.successionAt() != 0}
 	for _, w := range s.workers {
 		if s.attemptsKnown(now, w) {
 			continue
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -187,9 +187,6 @@
 		w.onlyMayRun, w.closedAt = job.TaskSet{}, e.SeenAt
 		maps.Copy(w.onlyMayRun, e.MayRun)
 	}
-	if s.takeover.mayAnswerPredecessor(w) {
-		s.takeover.openWorkers++
-	}
 	s.inheritLostRun(e)
 	return nil
 }
