--- a/internal/scheduler/owners_test.go
+++ b/internal/scheduler/owners_test.go
@@ -1301,7 +1301,7 @@
 	s.lateShare, s.lossShare = 0, 0
 }
 
-// heal ends all faults.
+// heal ends all faults and replaces the workers that are lost for good.
 func (s *ownersSim) heal() {
 	s.tracef("all faults end")
 	for _, h := range s.hosts {
@@ -1310,6 +1310,10 @@
 	}
 	for _, w := range s.workers {
 		w.silentUntil = 0
+		if w.lost {
+			// Without others there may be no room for a gang beside the tasks that last.
+			s.addWorker()
+		}
 	}
 }
 
