--- /dev/null
+++ b/review/rig-2/cases.go
@@ -0,0 +1,372 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// entryQueue is the queue of short jobs, as the site file of a small deployment has them.
+var entryQueue = queueSpec{name: "entries", prefix: "/entries/", priority: 0, attempts: 3, stretch: 1.5, targetMS: 250, timeoutMS: 3000}
+
+// nightlyQueue is a queue of long jobs that may wait.
+var nightlyQueue = queueSpec{name: "nightly", prefix: "/nightly/", priority: 2, attempts: 3, stretch: 3, targetMS: 60_000, timeoutMS: 3000}
+
+// feedQueue is the queue of jobs that last.
+var feedQueue = queueSpec{name: "feeds", prefix: "/feeds/", priority: 0, attempts: 4, stretch: 2.2, targetMS: 2500, timeoutMS: 3000}
+
+// finishTime is how long after the end of the traffic jobs are asked for, and idleBound how long
+// a job may have nothing running while there is room.
+const (
+	finishTime = 14 * time.Second
+	idleBound  = 3 * time.Second
+	ackBound   = 4 * time.Second
+)
+
+// entryJob returns a job of short tasks.
+func entryJob() jobSpec {
+	step := map[string]any{"count": 6, "cpu": 3100, "mem_mb": 6200, "estimate_ms": 640}
+	kind := taskKind{runs: 640 * time.Millisecond, cpu: 3100}
+	return jobSpec{id: newID(), prefix: entryQueue.prefix, steps: []map[string]any{step}, kinds: []taskKind{kind}}
+}
+
+// traffic hands in short jobs until it is stopped.
+type traffic struct {
+	d        *deployment
+	mu       sync.Mutex
+	accepted []jobSpec
+	refused  int
+	stopped  chan struct{}
+	clients  sync.WaitGroup
+}
+
+func (d *deployment) startTraffic(pause time.Duration) *traffic {
+	t := &traffic{d: d, stopped: make(chan struct{})}
+	t.clients.Go(func() {
+		for {
+			select {
+			case <-t.stopped:
+				return
+			case <-time.After(pause):
+			}
+			t.clients.Go(func() {
+				j := entryJob()
+				err := d.submit(j, 5, true)
+				t.mu.Lock()
+				defer t.mu.Unlock()
+				if err == nil {
+					t.accepted = append(t.accepted, j)
+				} else {
+					t.refused++
+				}
+			})
+		}
+	})
+	return t
+}
+
+// stop ends the traffic and returns the accepted jobs.
+func (t *traffic) stop() []jobSpec {
+	close(t.stopped)
+	t.clients.Wait()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.d.log.printf("the traffic ends: %d short jobs accepted, %d not", len(t.accepted), t.refused)
+	return t.accepted
+}
+
+// crashShare crashes a share of the workers, chosen at random or by zone, and starts them again
+// after down.
+func (d *deployment) crashWorkers(list []*worker, down time.Duration) {
+	for _, w := range list {
+		w.crash()
+	}
+	d.log.printf("%d workers crash: %v ...", len(list), list[0])
+	time.AfterFunc(down, func() {
+		for _, w := range list {
+			if err := w.start(); err != nil {
+				d.log.printf("worker %v does not start: %v", w, err)
+			}
+		}
+		d.log.printf("%d workers are back", len(list))
+	})
+}
+
+// unacknowledged returns the share of the ends that workers have listed for longer than ackBound
+// and that are not acknowledged, and their number.
+func (d *deployment) unacknowledged() (share float64, n int) {
+	for _, w := range d.workers {
+		if age, ends := w.oldestEnd(); age > ackBound {
+			n += ends
+		}
+	}
+	d.oracle.mu.Lock()
+	defer d.oracle.mu.Unlock()
+	return float64(n) / float64(max(1, d.oracle.ends)), n
+}
+
+// wideJob loses the workers of one zone for some seconds while a job of many small tasks runs.
+func wideJob(log *recorder, trouble bool) ([]string, error) {
+	const steps, width, cpu = 3, 10_000, 30
+	d, err := newDeployment(log, 3, 22, 32_000, 125_000)
+	defer d.stop()
+	if err != nil {
+		return nil, err
+	}
+	d.declare(1, []queueSpec{nightlyQueue, entryQueue})
+	if err := d.start(15 * time.Second); err != nil {
+		return nil, err
+	}
+	wide := jobSpec{id: newID(), prefix: nightlyQueue.prefix}
+	for range steps {
+		wide.steps = append(wide.steps, map[string]any{"count": width, "cpu": cpu, "mem_mb": 100, "estimate_ms": 25_000})
+		wide.kinds = append(wide.kinds, taskKind{runs: 25 * time.Second, cpu: cpu})
+	}
+	if err := d.submit(wide, 5, false); err != nil {
+		return nil, fmt.Errorf("the wide job: %w", err)
+	}
+	begun := time.Now()
+	entries := d.startTraffic(500 * time.Millisecond)
+	show := func() (done, running int) {
+		done, _, running, starts := d.oracle.counts(wide.id)
+		share, runs := d.load()
+		log.printf("wide job: %d of %d tasks done, %d running, %d starts; %.0f%% of the room in use by %d runs", done, steps*width, running, starts, 100*share, runs)
+		return done, running
+	}
+	for done := 0; time.Since(begun) < 12*time.Second; {
+		time.Sleep(2 * time.Second)
+		done, _ = show()
+		if done > 0 {
+			return nil, fmt.Errorf("tasks ended before all were started")
+		}
+	}
+	if trouble {
+		var lost []*worker
+		for _, w := range d.workers {
+			if w.zone == zones[2] {
+				lost = append(lost, w)
+			}
+		}
+		d.crashWorkers(lost, 4500*time.Millisecond)
+	}
+	for time.Since(begun) < 60*time.Second {
+		time.Sleep(4 * time.Second)
+		show()
+	}
+	accepted := entries.stop()
+	time.Sleep(finishTime)
+	return d.judgeEnd(wide, accepted, steps*width, show), nil
+}
+
+// judgeEnd asks for all jobs at the end of a day, and watches whether one has nothing running
+// while there is room.
+func (d *deployment) judgeEnd(wide jobSpec, accepted []jobSpec, tasks int, show func() (done, running int)) (broken []string) {
+	idleSince := time.Now()
+	for time.Since(idleSince) < idleBound+time.Second {
+		done, running := show()
+		share, _ := d.load()
+		if running > 0 || done == tasks || share >= 0.5 {
+			break
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	done, _, _, _ := d.oracle.counts(wide.id)
+	state := d.state(wide)
+	d.log.printf("GET %s: %s", wide.id, state)
+	if idle := time.Since(idleSince); idle >= idleBound && done < tasks {
+		broken = append(broken, fmt.Sprintf("LOST: the accepted job %s has had nothing running for %.1f s, %d of its tasks are not done and there is room", wide.id, idle.Seconds(), tasks-done))
+	}
+	unshown := 0
+	for _, j := range accepted {
+		done, _, _, _ := d.oracle.counts(j.id)
+		if state := d.state(j); state != "done" {
+			unshown++
+			if unshown <= 5 {
+				d.log.printf("GET %s: %s; %d of %d tasks have ended done", j.id, state, done, j.tasks())
+			}
+		}
+	}
+	d.log.printf("%d of %d accepted short jobs are not shown as done %v after the traffic", unshown, len(accepted), finishTime)
+	if unshown > 0 {
+		broken = append(broken, fmt.Sprintf("LOST: %d of %d accepted short jobs never become done for their callers", unshown, len(accepted)))
+	}
+	share, n := d.unacknowledged()
+	d.log.printf("%d ends (%.0f%% of all) are listed for over %v and not acknowledged", n, 100*share, ackBound)
+	d.oracle.mu.Lock()
+	defer d.oracle.mu.Unlock()
+	return append(broken, d.oracle.broken...)
+}
+
+// crashedShare is the number of workers that crash at once: 14% of 66.
+const crashedShare = 9
+
+// crashes lets workers crash four times, some seconds apart, while a job of tasks that last runs:
+// each time the one that runs its first task, and others. No run ends "failed".
+func crashes(log *recorder, trouble bool) ([]string, error) {
+	d, err := newDeployment(log, 3, 22, 32_000, 125_000)
+	defer d.stop()
+	if err != nil {
+		return nil, err
+	}
+	d.declare(1, []queueSpec{feedQueue, entryQueue})
+	if err := d.start(15 * time.Second); err != nil {
+		return nil, err
+	}
+	feed := jobSpec{
+		id: newID(), prefix: feedQueue.prefix,
+		steps: []map[string]any{{"count": 6, "cpu": 6400, "mem_mb": 13_000, "estimate_ms": 320, "long_running": true}},
+		kinds: []taskKind{{lasts: true, runs: time.Hour, cpu: 6400}},
+	}
+	if err := d.submit(feed, 5, false); err != nil {
+		return nil, fmt.Errorf("the job that lasts: %w", err)
+	}
+	entries := d.startTraffic(200 * time.Millisecond)
+	first := feed.id + ".0.0.0"
+	for crash := 0; trouble && crash < 4; crash++ {
+		w := d.awaitRun(first, 2*time.Second, 20*time.Second)
+		if w == nil {
+			log.printf("%s does not run any more", first)
+			break
+		}
+		log.printf("%s has run for 2 s on %v", first, w)
+		lost := []*worker{w}
+		for _, i := range rand.Perm(len(d.workers))[:crashedShare] {
+			if d.workers[i] != w && len(lost) < crashedShare && d.workers[i].isUp() {
+				lost = append(lost, d.workers[i])
+			}
+		}
+		d.crashWorkers(lost, 4500*time.Millisecond)
+	}
+	time.Sleep(10 * time.Second)
+	accepted := entries.stop()
+	time.Sleep(finishTime)
+	var broken []string
+	for _, j := range append(accepted, feed) {
+		done, failed, running, starts := d.oracle.counts(j.id)
+		state := d.state(j)
+		if j.id == feed.id || state != "done" {
+			log.printf("GET %s: %s; %d tasks, of which %d run and %d have ended done; %d runs have ended failed, %d starts", j.id, state, j.tasks(), running, done, failed, starts)
+		}
+		if (state == "failed" || state == "cancelled" || state == "410") && failed < entryQueue.attempts {
+			broken = append(broken, fmt.Sprintf("LOST: the accepted job %s, which nobody has cancelled, is shown as %s; %d of its runs have ended failed", j.id, state, failed))
+		}
+		if j.id == feed.id && running < j.tasks() {
+			broken = append(broken, fmt.Sprintf("LOST: %d of the %d tasks that last do not run %v after the last crash", j.tasks()-running, j.tasks(), 10*time.Second+finishTime))
+		}
+	}
+	return broken, nil
+}
+
+// awaitRun waits until a task has run for some time, and returns its worker. It returns nil if
+// the task does not run for that long within the limit.
+func (d *deployment) awaitRun(task string, ran, limit time.Duration) *worker {
+	for begun := time.Now(); time.Since(begun) < limit; time.Sleep(10 * time.Millisecond) {
+		for _, w := range d.workers {
+			if w.runs(task, ran) {
+				return w
+			}
+		}
+	}
+	return nil
+}
+
+// schedule hands in a job that is to run each minute and whose first time was some weeks ago, so
+// that many of its times are due. The platform kills and restarts processes that use more memory
+// than they may.
+func schedule(log *recorder, trouble bool) ([]string, error) {
+	const times, interval, past = 100_000, time.Minute, 60 * 24 * time.Hour
+	d, err := newDeployment(log, 3, 22, 32_000, 125_000)
+	defer d.stop()
+	if err != nil {
+		return nil, err
+	}
+	d.declare(1, []queueSpec{nightlyQueue, entryQueue})
+	if err := d.start(15 * time.Second); err != nil {
+		return nil, err
+	}
+	watched := d.watchMemory()
+	entries := d.startTraffic(500 * time.Millisecond)
+	time.Sleep(5 * time.Second)
+	j := jobSpec{
+		id: newID(), prefix: nightlyQueue.prefix,
+		steps: []map[string]any{{"count": 20, "cpu": 500, "mem_mb": 500, "estimate_ms": 500}},
+		kinds: []taskKind{{runs: 500 * time.Millisecond, cpu: 500}},
+	}
+	first := time.Now().Add(10 * time.Second)
+	if trouble {
+		first = time.Now().Add(-past)
+	}
+	j.schedule = map[string]any{"repeat_count": times, "start_at_ms": first.UnixMilli(), "interval_ms": interval.Milliseconds()}
+	if err := d.submit(j, 5, false); err != nil {
+		return nil, fmt.Errorf("the scheduled job: %w", err)
+	}
+	for range 12 {
+		time.Sleep(5 * time.Second)
+		done, _, running, starts := d.oracle.counts(j.id)
+		log.printf("scheduled job: %d tasks done, %d running, %d starts", done, running, starts)
+	}
+	accepted := entries.stop()
+	time.Sleep(finishTime)
+	ends := watched()
+	var broken []string
+	lost := 0
+	for _, j := range accepted {
+		done, _, _, _ := d.oracle.counts(j.id)
+		if state := d.state(j); state != "done" {
+			lost++
+			log.printf("GET %s: %s; %d of %d tasks have ended done", j.id, state, done, j.tasks())
+		}
+	}
+	often := 0
+	for name, n := range ends {
+		log.printf("%s has exceeded its memory %d times", name, n)
+		if n >= 3 {
+			often++
+		}
+	}
+	if often >= 2 {
+		broken = append(broken, fmt.Sprintf("Fault: the processes of %d hosts have ended three times or more by exceeding their memory", often))
+	}
+	if lost > 0 {
+		broken = append(broken, fmt.Sprintf("LOST: %d of %d accepted short jobs are not done for their callers", lost, len(accepted)))
+	}
+	return broken, nil
+}
+
+// watchMemory kills the processes that use more memory than they may and starts ended ones again,
+// as the platform does. The returned function ends that and returns how often each host's
+// process was killed.
+func (d *deployment) watchMemory() (stop func() map[string]int) {
+	stopped, ended, ends := make(chan struct{}), make(chan struct{}), map[string]int{}
+	go func() {
+		defer close(ended)
+		for {
+			select {
+			case <-stopped:
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+			for _, h := range d.hosts {
+				if !h.alive() {
+					if err := d.startHost(h); err != nil {
+						d.log.printf("%s does not start: %v", h.name, err)
+					}
+					continue
+				}
+				if mb := h.residentMB(); mb > d.memoryMB {
+					ends[h.name]++
+					d.log.printf("%s uses %d MB of %d MB and is killed", h.name, mb, d.memoryMB)
+					h.signal(syscall.SIGKILL)
+					<-h.exited
+				}
+			}
+		}
+	}()
+	return func() map[string]int {
+		close(stopped)
+		<-ended
+		return ends
+	}
+}
