--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/siskin-scheduler ] && [ -x review/rig-2/bin/rig-2 ] || exit 2
-exec review/rig-2/bin/rig-2 crashes review/10
+exec review/rig-2/bin/rig-2 cancel review/10
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -16,7 +16,7 @@
 
 var cases = map[string]func(log *recorder, trouble bool) (broken []string, err error){
 	"wide-job": wideJob,
-	"crashes":  crashes,
+	"cancel":   cancel,
 	"schedule": schedule,
 }
 
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -441,18 +441,4 @@
 	return cpu, len(w.running)
 }
 
-// runs reports whether a task has run here for at least the given time.
-func (w *worker) runs(task string, ran time.Duration) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	r := w.running[task]
-	return w.up && r != nil && time.Since(r.began) >= ran
-}
-
-func (w *worker) isUp() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.up
-}
-
 func (w *worker) String() string { return fmt.Sprintf("%s (%s, %s)", w.id, w.zone, w.rack) }
