Review case 8: waits until all tasks run, longer tasks

Cause: on a slower machine the tasks might have ended before all of them ran. Added: the zone is lost once all tasks run; tasks of 40 s.

--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -106,6 +106,7 @@
 // wideJob loses the workers of one zone for some seconds while a job of many small tasks runs.
 func wideJob(log *recorder, trouble bool) ([]string, error) {
 	const steps, width, cpu = 3, 10_000, 30
+	const startLimit, trafficTime = 30 * time.Second, 75 * time.Second
 	d, err := newDeployment(log, 3, 22, 32_000, 125_000)
 	defer d.stop()
 	if err != nil {
@@ -117,8 +118,8 @@
 	}
 	wide := jobSpec{id: newID(), prefix: nightlyQueue.prefix}
 	for range steps {
-		wide.steps = append(wide.steps, map[string]any{"count": width, "cpu": cpu, "mem_mb": 100, "estimate_ms": 25_000})
-		wide.kinds = append(wide.kinds, taskKind{runs: 25 * time.Second, cpu: cpu})
+		wide.steps = append(wide.steps, map[string]any{"count": width, "cpu": cpu, "mem_mb": 100, "estimate_ms": 40_000})
+		wide.kinds = append(wide.kinds, taskKind{runs: 40 * time.Second, cpu: cpu})
 	}
 	if err := d.submit(wide, 5, false); err != nil {
 		return nil, fmt.Errorf("the wide job: %w", err)
@@ -131,12 +132,12 @@
 		log.printf("wide job: %d of %d tasks done, %d running, %d starts; %.0f%% of the room in use by %d runs", done, steps*width, running, starts, 100*share, runs)
 		return done, running
 	}
-	for done := 0; time.Since(begun) < 12*time.Second; {
-		time.Sleep(2 * time.Second)
-		done, _ = show()
-		if done > 0 {
-			return nil, fmt.Errorf("tasks ended before all were started")
-		}
+	for running := 0; running < steps*width && time.Since(begun) < startLimit; {
+		time.Sleep(time.Second)
+		_, running = show()
+	}
+	if done, running := show(); done > 0 || running < steps*width {
+		return nil, fmt.Errorf("the tasks did not all run at the same time")
 	}
 	if trouble {
 		var lost []*worker
@@ -147,7 +148,7 @@
 		}
 		d.crashWorkers(lost, 4500*time.Millisecond)
 	}
-	for time.Since(begun) < 60*time.Second {
+	for time.Since(begun) < trafficTime {
 		time.Sleep(4 * time.Second)
 		show()
 	}
