--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -154,41 +154,48 @@
 	}
 	accepted := entries.stop()
 	time.Sleep(finishTime)
-	return d.judgeEnd(wide, accepted, steps*width, show), nil
+	return d.judgeEnd(wide, accepted, show), nil
 }
 
-// judgeEnd asks for all jobs at the end of a day, and watches whether one has nothing running
-// while there is room.
-func (d *deployment) judgeEnd(wide jobSpec, accepted []jobSpec, tasks int, show func() (done, running int)) (broken []string) {
-	idleSince := time.Now()
-	for time.Since(idleSince) < idleBound+time.Second {
-		done, running := show()
+// judgeJobs asks for jobs at the end of a day and watches for idleBound whether one has nothing
+// running, though tasks of it are not done and under half of the room is in use.
+func (d *deployment) judgeJobs(jobs []jobSpec) (broken []string) {
+	idle := jobs
+	for begun := time.Now(); time.Since(begun) <= idleBound; time.Sleep(200 * time.Millisecond) {
 		share, _ := d.load()
-		if running > 0 || done == tasks || share >= 0.5 {
-			break
+		idle = d.oracle.idle(idle)
+		if share >= 0.5 {
+			idle = nil
 		}
-		time.Sleep(500 * time.Millisecond)
-	}
-	done, _, _, _ := d.oracle.counts(wide.id)
-	state := d.state(wide)
-	d.log.printf("GET %s: %s", wide.id, state)
-	if idle := time.Since(idleSince); idle >= idleBound && done < tasks {
-		broken = append(broken, fmt.Sprintf("LOST: the accepted job %s has had nothing running for %.1f s, %d of its tasks are not done and there is room", wide.id, idle.Seconds(), tasks-done))
-	}
-	unshown := 0
-	for _, j := range accepted {
-		done, _, _, _ := d.oracle.counts(j.id)
-		if state := d.state(j); state != "done" {
-			unshown++
-			if unshown <= 5 {
-				d.log.printf("GET %s: %s; %d of %d tasks have ended done", j.id, state, done, j.tasks())
-			}
+	}
+	for i, j := range idle {
+		if i < 5 {
+			done, _, _, _ := d.oracle.counts(j.id)
+			d.log.printf("GET %s: %s; %d of %d tasks have ended done, and for %v none runs", j.id, d.state(j), done, j.tasks(), idleBound)
+		}
+	}
+	if len(idle) > 0 {
+		broken = append(broken, fmt.Sprintf("LOST: %d of %d accepted jobs have had nothing running for %v at the end, with tasks to run and room for them", len(idle), len(jobs), idleBound))
+	}
+	unknown := 0
+	for _, j := range jobs {
+		if state := d.state(j); state == "410" || state == "0" {
+			unknown++
+			d.log.printf("GET %s: %s", j.id, state)
 		}
 	}
-	d.log.printf("%d of %d accepted short jobs are not shown as done %v after the traffic", unshown, len(accepted), finishTime)
-	if unshown > 0 {
-		broken = append(broken, fmt.Sprintf("LOST: %d of %d accepted short jobs never become done for their callers", unshown, len(accepted)))
+	if unknown > 0 {
+		broken = append(broken, fmt.Sprintf("LOST: %d of %d accepted jobs are not known or get no answer", unknown, len(jobs)))
 	}
+	return broken
+}
+
+// judgeEnd judges the jobs at the end of a day and shows the ends that are not acknowledged.
+func (d *deployment) judgeEnd(wide jobSpec, accepted []jobSpec, show func() (done, running int)) (broken []string) {
+	show()
+	broken = d.judgeJobs([]jobSpec{wide})
+	d.log.printf("GET %s: %s; the store has refused %d appends for their size", wide.id, d.state(wide), d.store.refusals())
+	broken = append(broken, d.judgeJobs(accepted)...)
 	share, n := d.unacknowledged()
 	d.log.printf("%d ends (%.0f%% of all) are listed for over %v and not acknowledged", n, 100*share, ackBound)
 	d.oracle.mu.Lock()
@@ -296,16 +303,8 @@
 	}
 	accepted := entries.stop()
 	time.Sleep(finishTime)
+	broken := d.judgeJobs(accepted)
 	ends := watched()
-	var broken []string
-	lost := 0
-	for _, j := range accepted {
-		done, _, _, _ := d.oracle.counts(j.id)
-		if state := d.state(j); state != "done" {
-			lost++
-			log.printf("GET %s: %s; %d of %d tasks have ended done", j.id, state, done, j.tasks())
-		}
-	}
 	often := 0
 	for name, n := range ends {
 		log.printf("%s has exceeded its memory %d times", name, n)
@@ -316,9 +315,6 @@
 	if often >= 2 {
 		broken = append(broken, fmt.Sprintf("Fault: the processes of %d hosts have ended three times or more by exceeding their memory", often))
 	}
-	if lost > 0 {
-		broken = append(broken, fmt.Sprintf("LOST: %d of %d accepted short jobs are not done for their callers", lost, len(accepted)))
-	}
 	return broken, nil
 }
 
--- a/review/rig-2/store.go
+++ b/review/rig-2/store.go
@@ -323,3 +323,10 @@
 	s.group(in.Group).remove(in.Member)
 	reply(w, 200, map[string]any{})
 }
+
+// refusals returns how many appends were refused for their size.
+func (s *metaStore) refusals() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rejected
+}
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -174,6 +174,26 @@
 	_ = server.Close()
 }
 
+// idle returns those of the jobs of which no task runs and some are not done.
+func (o *oracle) idle(jobs []jobSpec) (idle []jobSpec) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	running, done := map[string]int{}, map[string]int{}
+	for task := range o.starts {
+		id, _ := stepOf(task)
+		running[id] += o.running[task]
+		if o.done[task] > 0 {
+			done[id]++
+		}
+	}
+	for _, j := range jobs {
+		if running[j.id] == 0 && done[j.id] < j.tasks() {
+			idle = append(idle, j)
+		}
+	}
+	return idle
+}
+
 // leave notes that a run is over that ended with its worker.
 func (o *oracle) leave(task string) {
 	o.mu.Lock()
