Log restarts of workers, and unheard workers whose entry names another run

Change: line 7215 and counter workers_restarted for each restart that an owner notices, with the age of the last order with a lease end; field restarted of line 7214. No decision changes.

--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -44,6 +44,12 @@
 // reportProblems logs and counts slowed, stopped, lost and waiting tasks and workers
 // set aside.
 func (d *Dispatcher) reportProblems(n scheduler.Notes) {
+	for _, note := range n.Restarts {
+		d.counter("workers.restarted").Inc(1)
+		event.WorkerRestarted.Log(d.Logger, logrus.Fields{
+			"worker": note.Worker, "run": note.Run, "before": note.Before, "silent_ms": note.Silent.Milliseconds(), "lease_age_ms": note.LeaseAge.Milliseconds(),
+		})
+	}
 	for _, note := range n.Throttled {
 		d.counter("attempts.paced").Inc(1)
 		event.TaskPaced.Log(d.Logger, logrus.Fields{"task": note.Task.String(), "worker": note.Worker, "percent": note.Percent})
@@ -76,7 +82,7 @@
 		d.gauge("workers.unheard").Update(int64(note.Unheard))
 		event.WorkersUnheard.Log(d.Logger, logrus.Fields{
 			"after_ms": note.After.Milliseconds(), "enrolled": note.Enrolled, "answered": note.Answered, "quorum": note.Quorum,
-			"unheard": note.Unheard, "named": note.Named, "without_entry": note.WithoutEntry, "oldest_claim": note.OldestClaim,
+			"unheard": note.Unheard, "named": note.Named, "without_entry": note.WithoutEntry, "restarted": note.Restarted, "oldest_claim": note.OldestClaim,
 		})
 	}
 	for _, note := range n.SetAside {
--- a/internal/process/event/job.go
+++ b/internal/process/event/job.go
@@ -42,6 +42,7 @@
 	SteppedAside      = declare(7212, logrus.WarnLevel, "host leaves the shard to others")
 	ShardNotTaken     = declare(7213, logrus.WarnLevel, "no host takes the shard over")
 	WorkersUnheard    = declare(7214, logrus.InfoLevel, "workers of earlier owners not heard")
+	WorkerRestarted   = declare(7215, logrus.InfoLevel, "worker restarted")
 	RecordNotEncoded  = declare(7204, logrus.ErrorLevel, "record not encoded")
 	RecordDelayed     = declare(7205, logrus.WarnLevel, "record delayed")
 	RecordUnreadable  = declare(7206, logrus.WarnLevel, "record unreadable")
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -64,7 +64,7 @@
 	}
 	if w.clock.known && sameRun {
 		if length := s.grantableLease(now); w.enrolled && !w.closed && length > 0 {
-			o.LeaseEnd = w.clock.extendLease(now, length)
+			o.LeaseEnd = w.grantLease(now, length)
 		}
 		o.Wait = s.renewWait(w)
 	}
--- a/internal/scheduler/notes.go
+++ b/internal/scheduler/notes.go
@@ -22,6 +22,19 @@
 	Crashes   []CrashNote
 	Trials    []TrialNote
 	Unheard   []UnheardNote
+	Restarts  []RestartNote
+}
+
+// RestartNote says that a worker is in another run than before.
+type RestartNote struct {
+	Worker platform.WorkerID
+	// Run and Before are the present run and the one before, as in fleet.Worker.
+	Run, Before int64
+	// Silent is the time since the run before last answered with its lists, or zero if it never did.
+	Silent time.Duration
+	// LeaseAge is the time since an order with a lease end was last sent to the run before, or zero
+	// if none was.
+	LeaseAge time.Duration
 }
 
 // TrialNote says that a filler starts or goes on without the headroom that it is expected to
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -56,7 +56,7 @@
 	}
 	action.Worker, action.Run, action.Repeated = a.worker.info, a.worker.run, a.startSent
 	a.orderedAt, a.startSent = now, true
-	action.Order.LeaseEnd = a.worker.clock.extendLease(now, s.grantableLease(now))
+	action.Order.LeaseEnd = a.worker.grantLease(now, s.grantableLease(now))
 	return action, true
 }
 
--- a/internal/scheduler/unheard.go
+++ b/internal/scheduler/unheard.go
@@ -17,8 +17,9 @@
 	Quorum             bool
 	// Unheard counts the workers that may run attempts that are not tracked, or may have ends of
 	// such attempts behind those that they list, Named those of them whose tasks the log names,
-	// and WithoutEntry those without an entry in the platform's store.
-	Unheard, Named, WithoutEntry int
+	// WithoutEntry those without an entry in the platform's store, and Restarted those whose entry
+	// names another run than the log.
+	Unheard, Named, WithoutEntry, Restarted int
 	// OldestClaim is the lowest claim of the owners that were the last to reach one of them.
 	OldestClaim uint32
 }
@@ -41,6 +42,9 @@
 		if !w.registered {
 			n.WithoutEntry++
 		}
+		if w.enteredAnotherRun() {
+			n.Restarted++
+		}
 		if n.OldestClaim == 0 || w.previousClaim < n.OldestClaim {
 			n.OldestClaim = w.previousClaim
 		}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -62,8 +62,10 @@
 	// was sent, or zero.
 	unresponsiveSince Instant
 	clock             workerClock
-	attempts          map[job.TaskRef]*attempt
-	reserved          platform.Resources
+	// leaseOrderedAt is when an order with a lease end was last prepared for the worker, or zero.
+	leaseOrderedAt Instant
+	attempts       map[job.TaskRef]*attempt
+	reserved       platform.Resources
 	// arriving counts the tasks of each step that are about to move to the worker, while
 	// drainWorkers runs.
 	arriving map[*stepRun]int
@@ -180,7 +182,7 @@
 	}
 	w := s.workerFor(e.Worker)
 	w.info = fleet.Worker{ID: e.Worker, Addr: addr, Service: e.Service, Capacity: e.Capacity, Started: e.Run}
-	w.previousClaim = e.Claim
+	w.previousClaim, w.recordedRun = e.Claim, e.Run
 	s.takeover.enrolledWorkers++
 	s.journal.listed[e.Worker] = true
 	if e.Closed {
@@ -196,6 +198,7 @@
 // then may belong to either run; the lists of the new run tell which. Unanswered start
 // orders may still reach the new run, so it is ordered to stop those attempts.
 func (s *Shard) handleRestart(now Instant, w *workerState, run int64) {
+	s.noteRestart(now, w, run)
 	w.setRun(now, run)
 	w.gone, w.heardAt = false, 0
 	for _, a := range w.attempts {
@@ -220,6 +223,18 @@
 	w.health = health{}
 }
 
+// noteRestart adds a note on the worker's next run.
+func (s *Shard) noteRestart(now Instant, w *workerState, run int64) {
+	n := RestartNote{Worker: w.info.ID, Run: run, Before: w.run}
+	if w.listsReceived != 0 {
+		n.Silent = now - w.listsReceived
+	}
+	if w.leaseOrderedAt != 0 {
+		n.LeaseAge = now - w.leaseOrderedAt
+	}
+	s.notes.Restarts = append(s.notes.Restarts, n)
+}
+
 // setRun sets the worker's current run.
 func (w *workerState) setRun(now Instant, run int64) {
 	w.run, w.runBefore, w.runSeenAt = run, w.run, now
@@ -255,6 +270,9 @@
 	return free
 }
 
+// enteredAnotherRun reports whether the worker's entry names another run than its record in the log.
+func (w *workerState) enteredAnotherRun() bool { return w.info.Started != w.recordedRun }
+
 // overcommitted reports whether more is reserved on a worker than its capacity, which may
 // have shrunk since.
 func (w *workerState) overcommitted() bool { return !(platform.Resources{}).Fits(w.free()) }
@@ -350,6 +368,13 @@
 	return end
 }
 
+// grantLease returns the lease end to request of the worker for a lease of the given length from
+// now.
+func (w *workerState) grantLease(now Instant, length time.Duration) platform.WorkerTime {
+	w.leaseOrderedAt = now
+	return w.clock.extendLease(now, length)
+}
+
 // leasesExpireAt returns when every requested lease has expired, also on the slowest
 // clock.
 func (c *workerClock) leasesExpireAt() Instant {
