--- a/internal/scheduler/owners_test.go
+++ b/internal/scheduler/owners_test.go
@@ -110,6 +110,8 @@
 	// registeredUntil is when the worker's entry expires, silentUntil until when it sends no
 	// heartbeat.
 	registeredUntil, silentUntil time.Duration
+	// cutUntil is until when no host reaches the worker.
+	cutUntil time.Duration
 	// lost is set once the worker is gone for good.
 	lost bool
 }
@@ -786,7 +788,7 @@
 		late = true
 	}
 	w := s.workers[s.indexOf(id)]
-	cut := func() bool { return h.cut[id] }
+	cut := func() bool { return h.cut[id] || s.now < w.cutUntil }
 	arrivesBy := s.now + wait + answerTimeout
 	if late {
 		arrivesBy = max(s.now+delay, s.now+maxLateness)
@@ -1398,6 +1400,75 @@
 	}
 }
 
+// replaceOwner makes the owner end or lose the shard in a random way.
+func (s *ownersSim) replaceOwner() {
+	o := s.current()
+	if o == nil {
+		return
+	}
+	old := o.host
+	switch s.rng.IntN(6) {
+	case 0, 1:
+		old.kill(s.between(300*time.Millisecond, 4*time.Second))
+	case 2:
+		old.freeze(s.between(time.Second, maxLateness))
+	case 3:
+		s.failStore([]*simHost{old}, storeSilent, storeSilent, s.between(3*time.Second, 9*time.Second))
+	case 4:
+		o.stop()
+	case 5:
+		for _, h := range s.hosts {
+			h.kill(s.between(300*time.Millisecond, 2*time.Second))
+		}
+	}
+	s.after(s.between(300*time.Millisecond, 1500*time.Millisecond), func() {
+		s.hosts[(old.name+1+s.rng.IntN(len(s.hosts)-1))%len(s.hosts)].takeOver()
+	})
+}
+
+// TestQuickRestartsBeforeChangesOfOwnersRunNoTaskTwice guards against tasks that run on after the
+// leases that the next owner waits for: orders under way reach the run of a worker that is back at
+// once, and the worker is cut off before the owner is replaced or soon after.
+func TestQuickRestartsBeforeChangesOfOwnersRunNoTaskTwice(t *testing.T) {
+	t.Parallel()
+	for i := range *days {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s := newOwnersSim(t, seed, 64_000)
+			s.hosts[0].takeOver()
+			for range 12 {
+				s.submit()
+				s.run(s.between(500*time.Millisecond, 2*time.Second))
+			}
+			for range 3 {
+				var restarted []*simWorker
+				for _, id := range s.someWorkers(0.2 + 0.5*s.rng.Float64()) {
+					w := s.workers[s.indexOf(id)]
+					restarted = append(restarted, w)
+					s.restart(w, s.between(minRestartTime, quickRestartTime))
+				}
+				s.submit()
+				s.run(s.between(0, 2500*time.Millisecond))
+				s.submit()
+				s.after(s.between(0, time.Second), func() {
+					s.tracef("%d workers are cut off", len(restarted))
+					cutUntil := s.now + s.between(3*time.Second, 15*time.Second)
+					for _, w := range restarted {
+						w.cutUntil = cutUntil
+					}
+				})
+				s.replaceOwner()
+				s.run(s.between(8*time.Second, 16*time.Second))
+				s.ensureOwner()
+			}
+			s.heal()
+			s.ensureOwner()
+			s.run(time.Minute)
+		})
+	}
+}
+
 // TestNewOwnerStartsTasksInTime guards against tasks that wait long after a change of owners for
 // workers that the new owner does not hear: 5.5 s if it hears over a third of the enrolled ones.
 func TestNewOwnerStartsTasksInTime(t *testing.T) {
--- /dev/null
+++ b/internal/scheduler/stray_test.go
@@ -0,0 +1,247 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/siskinvane/siskinvane/internal/platform"
+	"github.com/siskinvane/siskinvane/internal/platform/fleet"
+	"github.com/siskinvane/siskinvane/internal/scheduler/job"
+)
+
+// strayHarness is a harness of workers that restart while renew orders are under way to them.
+type strayHarness struct {
+	*harness
+	strays map[platform.WorkerID]fleet.RenewOrder
+	sent   time.Duration
+}
+
+// newStrayHarness returns a harness of workers whose clocks have run for so long that a lease end
+// on one of them is far ahead for a run that has just begun.
+func newStrayHarness(t *testing.T) *strayHarness {
+	h := &strayHarness{harness: newHarness(t, 6), strays: map[platform.WorkerID]fleet.RenewOrder{}}
+	h.run(20 * time.Second)
+	return h
+}
+
+func (h *strayHarness) workerIDs() []platform.WorkerID {
+	ids := make([]platform.WorkerID, h.workers)
+	for i := range ids {
+		ids[i] = workerInfo(i).ID
+	}
+	return ids
+}
+
+// sendStrays sends each worker a renew order that is held up.
+func (h *strayHarness) sendStrays() {
+	h.sent = h.now
+	for _, id := range h.workerIDs() {
+		_, order, ok := h.shard.RenewOrder(h.now, id)
+		must.True(h.t, ok)
+		must.Positive(h.t, order.LeaseEnd)
+		h.strays[id] = order
+	}
+}
+
+// restartAll restarts all workers within a time that is shorter than the wait for an answer.
+func (h *strayHarness) restartAll() {
+	for _, id := range h.workerIDs() {
+		h.cluster.Crash(id)
+	}
+	h.now += 600 * time.Millisecond
+	for _, id := range h.workerIDs() {
+		h.cluster.Boot(h.now, id)
+	}
+}
+
+// deliverStrays hands the orders that were held up to the workers' present runs. No answer arrives.
+func (h *strayHarness) deliverStrays() {
+	for id, order := range h.strays {
+		lists, _ := h.cluster.Renew(h.now, id, order)
+		must.Eq(h.t, fleet.Accepted, lists.Verdict)
+	}
+}
+
+// noticeRestarts lets the owner know of the restarts: the orders got no answer, and the entries
+// name other runs.
+func (h *strayHarness) noticeRestarts() {
+	for id := range h.strays {
+		h.shard.RenewFailed(h.now, h.sent, id)
+	}
+	h.syncWorkers()
+}
+
+// startTask starts a task that takes long, and returns its worker.
+func (h *strayHarness) startTask() platform.WorkerID {
+	id := h.submit(firstID, fixedLength(100), nil, batchStep(1))
+	h.run(300 * time.Millisecond)
+	must.Eq(h.t, 1, h.cluster.Running(id))
+	return h.workersOf(job.TaskRef{Job: id})[0]
+}
+
+// TestTaskRunsTwiceBesideLeaseOfOrderForEarlierRun: a worker's run got a lease by an order for the
+// run before, and the next owner started the task elsewhere before that lease was over.
+func TestTaskRunsTwiceBesideLeaseOfOrderForEarlierRun(t *testing.T) {
+	restarts := map[string]func(h *strayHarness) platform.WorkerID{
+		"recorded": func(h *strayHarness) platform.WorkerID {
+			h.sendStrays()
+			h.restartAll()
+			h.deliverStrays()
+			h.noticeRestarts()
+			return h.startTask()
+		},
+		"not recorded": func(h *strayHarness) platform.WorkerID {
+			h.sendStrays()
+			h.restartAll()
+			h.deliverStrays()
+			h.recordingPaused = true
+			h.noticeRestarts()
+			defer func() { h.recordingPaused = false }()
+			return h.startTask()
+		},
+		"two in a row": func(h *strayHarness) platform.WorkerID {
+			h.sendStrays()
+			h.restartAll()
+			h.noticeRestarts()
+			h.run(200 * time.Millisecond)
+			h.restartAll()
+			h.deliverStrays()
+			h.noticeRestarts()
+			return h.startTask()
+		},
+		"carried out late": func(h *strayHarness) platform.WorkerID {
+			h.sendStrays()
+			h.restartAll()
+			h.noticeRestarts()
+			w := h.startTask()
+			h.run(9 * time.Second)
+			h.deliverStrays()
+			return w
+		},
+		"seen by no owner": func(h *strayHarness) platform.WorkerID {
+			h.submit(firstID, fixedLength(100), nil, batchStep(1))
+			start := h.beginOnlyStart()
+			h.restartAll()
+			answer, _ := h.cluster.Start(h.now, start.Worker.ID, start.Order)
+			must.Eq(h.t, fleet.Accepted, answer.Verdict)
+			h.shard.StartAnswered(h.now, start, fleet.Answer{}, platform.ErrOutcomeUnknown)
+			return start.Worker.ID
+		},
+		"seen by two owners": func(h *strayHarness) platform.WorkerID {
+			h.sendStrays()
+			h.restartAll()
+			h.deliverStrays()
+			h.noticeRestarts()
+			w := h.startTask()
+			h.takeOver(false)
+			h.run(100 * time.Millisecond)
+			return w
+		},
+		"seen by the next owner": func(h *strayHarness) platform.WorkerID {
+			h.sendStrays()
+			h.restartAll()
+			h.deliverStrays()
+			h.takeOver(false)
+			return h.startTask()
+		},
+		"without entries meanwhile": func(h *strayHarness) platform.WorkerID {
+			h.sendStrays()
+			h.restartAll()
+			h.deliverStrays()
+			h.noticeRestarts()
+			h.run(100 * time.Millisecond)
+			for _, id := range h.workerIDs() {
+				h.unregistered[id] = true
+			}
+			h.syncWorkers()
+			h.run(100 * time.Millisecond)
+			clear(h.unregistered)
+			h.syncWorkers()
+			return h.startTask()
+		},
+	}
+	changes := map[string]func(h *strayHarness, id platform.WorkerID){
+		"none": func(h *strayHarness, id platform.WorkerID) {
+			h.cluster.SetPartitioned(id, true)
+			h.syncWorkers()
+		},
+		"killed": func(h *strayHarness, id platform.WorkerID) {
+			h.cluster.SetPartitioned(id, true)
+			before := h.claim
+			h.takeOver(false)
+			h.shard.PredecessorEnded(h.now, before)
+		},
+		"cut off": func(h *strayHarness, id platform.WorkerID) {
+			h.cluster.SetPartitioned(id, true)
+			h.takeOver(false)
+		},
+		"replaced in order": func(h *strayHarness, id platform.WorkerID) {
+			h.cluster.SetPartitioned(id, true)
+			h.takeOver(true)
+		},
+		"all hosts at once": func(h *strayHarness, id platform.WorkerID) {
+			h.cluster.SetPartitioned(id, true)
+			h.restartedHosts = true
+			h.now += 2 * time.Second
+			h.readAllAgain()
+			h.takeOver(false)
+		},
+		"two in a row": func(h *strayHarness, id platform.WorkerID) {
+			h.cluster.SetPartitioned(id, true)
+			for range 2 {
+				before := h.claim
+				h.takeOver(false)
+				h.shard.PredecessorEnded(h.now, before)
+				h.run(time.Second)
+			}
+		},
+		"after it closed the worker": func(h *strayHarness, id platform.WorkerID) {
+			h.cluster.SetPartitioned(id, true)
+			h.run(500 * time.Millisecond)
+			before := h.claim
+			h.takeOver(false)
+			h.shard.PredecessorEnded(h.now, before)
+		},
+	}
+	for restart, begin := range restarts {
+		for change, replace := range changes {
+			t.Run(restart+"/"+change, func(t *testing.T) {
+				h := newStrayHarness(t)
+				replace(h, begin(h))
+				starts := h.cluster.Starts()
+				h.run(40 * time.Second)
+				h.checkViolations()
+				must.Eq(t, starts+1, h.cluster.Starts())
+			})
+		}
+	}
+}
+
+// readAllAgain makes all hosts read the log now for the first time.
+func (h *harness) readAllAgain() {
+	for id, e := range h.enrolled {
+		e.SeenAt = h.now
+		h.enrolled[id] = e
+	}
+}
+
+// TestRestartOfLongAgoDelaysTakeover: each later owner whose host had just started would wait for
+// stray leases that were over long before.
+func TestRestartOfLongAgoDelaysTakeover(t *testing.T) {
+	h := newStrayHarness(t)
+	h.sendStrays()
+	h.restartAll()
+	h.deliverStrays()
+	h.noticeRestarts()
+	w := h.startTask()
+	h.run(30 * time.Second)
+	h.cluster.SetPartitioned(w, true)
+	before := h.claim
+	h.restartedHosts = true
+	h.readAllAgain()
+	h.takeOver(false)
+	h.shard.PredecessorEnded(h.now, before)
+	must.Between(t, 5*time.Second, h.runUntilStart(20*time.Second), 6*time.Second)
+	h.checkViolations()
+}
