Later owners wait for leases that orders for the run before gave a worker

Cause: an order that is under way while a worker restarts reaches the run that is back under the worker's identifier. Its lease end is one on the clock of the run before, far ahead for the new run, so the lease is the longest that a worker grants, and it holds for all that starts there later. The owner that sees the restart reckons with that, but only for the orders that it knows to be answered; the next owner is told nothing and waits for leases of 5 s.

Change: the owner keeps the orders with a lease end that have no answer. An owner waits longer, as if its predecessors had ended that much later, for a worker whose entry names a run that no owner has recorded. Where no worker restarts, nothing changes. A worker without an entry is not forgotten before these leases are over.

--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -47,7 +47,7 @@
 	for _, note := range n.Restarts {
 		d.counter("workers.restarted").Inc(1)
 		event.WorkerRestarted.Log(d.Logger, logrus.Fields{
-			"worker": note.Worker, "run": note.Run, "before": note.Before, "silent_ms": note.Silent.Milliseconds(), "lease_age_ms": note.LeaseAge.Milliseconds(),
+			"worker": note.Worker, "run": note.Run, "before": note.Before, "silent_ms": note.Silent.Milliseconds(), "stray_leases_ms": note.StrayLeases.Milliseconds(),
 		})
 	}
 	for _, note := range n.Throttled {
--- a/internal/process/dispatch/renew.go
+++ b/internal/process/dispatch/renew.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -202,6 +203,9 @@
 		}
 		d.counter("holds.unanswered").Inc(1)
 		d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) {
+			if !errors.Is(err, platform.ErrOutcomeUnknown) {
+				s.RenewalWithheld(w.ID)
+			}
 			s.RenewFailed(now, sent, w.ID)
 			if reply.Verdict == fleet.RefusedOtherRun {
 				s.WorkerReplaced(now, w.ID)
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -158,6 +158,10 @@
 	// a later record of it is in the log. MayRun then names all tasks that may be running there.
 	Closed bool    `cbor:"8,keyasint,omitempty"`
 	MayRun TaskSet `cbor:"9,keyasint,omitempty"`
+	// StrayLeases is for how long after this record orders meant for earlier runs of the worker may
+	// extend leases in its present run beyond what the owner requests. Earlier versions do not set
+	// it.
+	StrayLeases time.Duration `cbor:"10,keyasint,omitempty"`
 	// SeenAt is when this host read the record, by its own clock.
 	SeenAt time.Duration `cbor:"-"`
 }
--- a/internal/scheduler/journal.go
+++ b/internal/scheduler/journal.go
@@ -93,7 +93,7 @@
 	for _, w := range s.journal.enrolled {
 		e := job.Enrollment{
 			Worker: w.info.ID, Addr: w.info.Addr.String(), Service: w.info.Service, Capacity: w.info.Capacity,
-			Claim: s.claim, Run: w.run, Lost: w.takeLost(),
+			Claim: s.claim, Run: w.run, Lost: w.takeLost(), StrayLeases: w.strayLeases(s.now),
 		}
 		if refs := s.mayRun(w); w.silentFor(s.now) >= closeDelay && len(refs) <= maxMayRun && s.attemptsKnown(s.now, w) {
 			if !w.closed {
@@ -121,6 +121,7 @@
 		if w, ok := s.workers[e.Worker]; ok && !s.journal.unenrolled[e.Worker] {
 			s.dirty.add(w)
 			w.enrolled, w.recordedRun, w.closed = w.info.Addr.String() == e.Addr, e.Run, e.Closed
+			w.strayRecorded = e.StrayLeases > 0
 			if e.Run == w.run {
 				w.enrolling = false
 			}
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -30,8 +30,9 @@
 	// quorumRenewWait applies while leases depend on when a quorum of the workers has answered.
 	quorumRenewWait = 600 * time.Millisecond
 	// listsValidity is for how long after it has read its lists a worker counts as the same
-	// run. A worker takes longer to restart. While the owner may not act it sends no renew
-	// orders, so none goes unanswered that would tell of a restart.
+	// run. It bounds how many orders reach a later run, which has no lower bound on the time that
+	// a restart takes: see workerState.strayLeasesEndAt. While the owner may not act it sends no
+	// renew orders, so none goes unanswered that would tell of a restart.
 	listsValidity = time.Second
 	// renewAnswerTime is how long the answer to a renew order may take in addition to the
 	// wait that it allows, until its absence may be due to a restart.
@@ -56,6 +57,7 @@
 		return fleet.Worker{}, fleet.RenewOrder{}, false
 	}
 	o := fleet.RenewOrder{Token: s.epoch}
+	w.renewOrderedAt = now
 	sameRun := !w.mayHaveRestarted(now)
 	if sameRun {
 		// A new run numbers its ends anew.
@@ -84,7 +86,7 @@
 		return ok
 	}
 	if w.mayHaveRestarted(now) {
-		w.renewalDue = 0
+		s.RenewalWithheld(id)
 		return false
 	}
 	return true
@@ -94,6 +96,7 @@
 func (s *Shard) RenewalWithheld(id platform.WorkerID) {
 	if w, ok := s.workers[id]; ok {
 		w.renewalDue = 0
+		s.settleLeaseOrder(s.now, w.renewOrderedAt, w, false)
 	}
 }
 
@@ -123,9 +126,10 @@
 	return w.unresponsive() || now > w.listsReadAt+listsValidity
 }
 
-// runCertain reports whether a worker is in the run that its latest lists are of, so that a
-// lease end may be given on its clock. While the answer to a renewal is awaited that was sent
-// to this run, a restart would have broken the connection.
+// runCertain reports whether a worker is probably in the run that its latest lists are of, so
+// that a lease end may be given on its clock. While the answer to a renewal is awaited that was
+// sent to this run, a restart has usually broken the connection. What a later run gets all the same
+// is accounted for once the restart is known.
 func (w *workerState) runCertain(now Instant) bool {
 	return !w.unresponsive() && (now <= w.renewalDue || !w.mayHaveRestarted(now))
 }
@@ -241,12 +245,13 @@
 	s.expireLostRuns(now)
 	for _, w := range s.workers {
 		w.expireUnansweredStarts(now)
-		if !w.registered && s.idle(now, w) {
+		if !w.registered && s.idle(now, w) && now >= w.strayLeasesEndAt {
 			s.forgetWorker(w)
 			continue
 		}
 		s.dismissSilent(now, w)
-		if !w.unresponsive() || w.clock.readAt == 0 || s.confirmedTime(now) < w.clock.leasesExpireAt()+leaseExpiryMargin {
+		s.forgetStrayLeases(now, w)
+		if !w.unresponsive() || w.clock.readAt == 0 || s.confirmedTime(now) < w.leasesExpireAt()+leaseExpiryMargin {
 			continue
 		}
 		w.closeRun()
@@ -265,3 +270,12 @@
 func (s *Shard) idle(now Instant, w *workerState) bool {
 	return s.attemptsKnown(now, w) && len(s.mayRun(w)) == 0
 }
+
+// forgetStrayLeases records, once the leases are over that orders for earlier runs may have given
+// a worker, that later owners need not wait for them.
+func (s *Shard) forgetStrayLeases(now Instant, w *workerState) {
+	if w.strayRecorded && w.enrolled && now >= w.strayLeasesEndAt && !w.unresponsive() {
+		w.strayRecorded = false
+		s.journal.enroll(w)
+	}
+}
--- a/internal/scheduler/notes.go
+++ b/internal/scheduler/notes.go
@@ -32,9 +32,9 @@
 	Run, Before int64
 	// Silent is the time since the run before last answered with its lists, or zero if it never did.
 	Silent time.Duration
-	// LeaseAge is the time since an order with a lease end was last sent to the run before, or zero
-	// if none was.
-	LeaseAge time.Duration
+	// StrayLeases is for how long leases may last that orders meant for the run before may give the
+	// present one.
+	StrayLeases time.Duration
 }
 
 // TrialNote says that a filler starts or goes on without the headroom that it is expected to
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -56,7 +56,7 @@
 	}
 	action.Worker, action.Run, action.Repeated = a.worker.info, a.worker.run, a.startSent
 	a.orderedAt, a.startSent = now, true
-	action.Order.LeaseEnd = a.worker.grantLease(now, s.grantableLease(now))
+	action.Order.LeaseEnd, action.sent = a.worker.grantLease(now, s.grantableLease(now)), now
 	return action, true
 }
 
@@ -73,6 +73,9 @@
 
 // StartAnswered handles the answer to a start order. err is nil if the worker answered.
 func (s *Shard) StartAnswered(now Instant, action StartAction, answer fleet.Answer, err error) {
+	if w, ok := s.workers[action.Worker.ID]; ok && !errors.Is(err, platform.ErrOutcomeUnknown) {
+		s.settleLeaseOrder(now, action.sent, w, err == nil)
+	}
 	a := s.findAttempt(action.Worker, action.Order)
 	if a == nil {
 		if !action.Repeated && notCarriedOut(answer, err) {
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -16,7 +16,9 @@
 	if !ok || lists.Verdict != fleet.Accepted {
 		return
 	}
-	if w.isEarlierRun(lists.Started, sent) {
+	earlierRun := w.isEarlierRun(lists.Started, sent)
+	s.settleLeaseOrder(now, sent, w, !earlierRun)
+	if earlierRun {
 		return
 	}
 	if lists.Started != w.run && lists.Started != 0 {
@@ -24,7 +26,7 @@
 			w.closeRun()
 			s.handleRestart(now, w, lists.Started)
 		} else {
-			w.setRun(now, lists.Started)
+			s.setFirstRun(now, w, lists.Started)
 		}
 	}
 	w.clock.update(now, lists.Clock)
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -156,6 +156,8 @@
 	Order fleet.StartOrder
 	// Repeated is set if the order was sent before.
 	Repeated bool
+	// sent is when BeginStart returned the order.
+	sent Instant
 }
 
 // StopAction is an order to stop an attempt.
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -19,7 +19,10 @@
 //   - Beyond AuthorityWindow it acts only while two thirds of its workers still answer
 //     it. Once more than a third has accepted a later token, some of these would refuse it.
 //   - Its leases end at most maxLeaseAfterProof after the later of that read and the time
-//     through which two thirds have answered it.
+//     through which two thirds have answered it. Where a worker has restarted, its order may have
+//     reached the next run, for which a lease end on the clock of the run before is far ahead:
+//     the enrollment tells for how long leases may last there that are not its own, and an entry
+//     of a run that no owner has recorded tells of the others.
 //   - It extends leases only on workers that are enrolled under its claim, and not while
 //     their record is closed. A worker that no owner has reached since can run only what the
 //     last owner to reach it has started there.
@@ -281,9 +284,24 @@
 		return w.ended.through >= w.earlierEndsAt
 	}
 	confirmed := s.confirmedTime(now)
+	if confirmed < w.strayLeasesEndAt {
+		return false
+	}
+	if w.enteredAnotherRun() {
+		// Any order of earlier owners may have reached that run.
+		confirmed -= s.maxStrayLease()
+	}
 	return s.takeover.leasesExpired(confirmed, w.previousClaim) || w.closedBefore(confirmed-maxResidualLease)
 }
 
+// maxStrayLease is how long a lease may last after its order was sent if the worker has restarted
+// since: the order may be carried out late, and its lease end, on the clock of the run before, may
+// be so far ahead for the new run that the lease is the longest one.
+func (s *Shard) maxStrayLease() time.Duration { return maxOrderDelay + slowestClock(s.bounds.MaxLease) }
+
+// slowestClock returns how long a time d on the slowest clock may take.
+func slowestClock(d time.Duration) time.Duration { return d*100/98 + leaseExpiryMargin }
+
 // closedBefore reports whether the last owner to reach the worker had recorded by the given time
 // that it extends no lease there. This owner has read all that earlier ones could record.
 func (w *workerState) closedBefore(at Instant) bool { return w.closedAt != 0 && w.closedAt <= at }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/siskinvane/siskinvane/internal/platform"
@@ -62,10 +63,17 @@
 	// was sent, or zero.
 	unresponsiveSince Instant
 	clock             workerClock
-	// leaseOrderedAt is when an order with a lease end was last prepared for the worker, or zero.
-	leaseOrderedAt Instant
-	attempts       map[job.TaskRef]*attempt
-	reserved       platform.Resources
+	// renewOrderedAt is when the last renew order was prepared.
+	renewOrderedAt Instant
+	// leaseOrders are when the orders with a lease end were sent that the worker may not have
+	// carried out yet. strayLeasesEndAt is when the leases are over at the latest that orders meant
+	// for earlier runs may give the present one, or zero; strayRecorded is set while the log tells
+	// of them.
+	leaseOrders      []Instant
+	strayLeasesEndAt Instant
+	strayRecorded    bool
+	attempts         map[job.TaskRef]*attempt
+	reserved         platform.Resources
 	// arriving counts the tasks of each step that are about to move to the worker, while
 	// drainWorkers runs.
 	arriving map[*stepRun]int
@@ -159,7 +167,7 @@
 		return
 	}
 	w.registered = false
-	if s.idle(now, w) {
+	if s.idle(now, w) && now >= w.strayLeasesEndAt {
 		s.forgetWorker(w)
 	}
 }
@@ -183,6 +191,9 @@
 	w := s.workerFor(e.Worker)
 	w.info = fleet.Worker{ID: e.Worker, Addr: addr, Service: e.Service, Capacity: e.Capacity, Started: e.Run}
 	w.previousClaim, w.recordedRun = e.Claim, e.Run
+	if e.StrayLeases > 0 {
+		w.strayLeasesEndAt = e.SeenAt + slowestClock(min(e.StrayLeases, s.maxStrayLease()))
+	}
 	s.takeover.enrolledWorkers++
 	s.journal.listed[e.Worker] = true
 	if e.Closed {
@@ -198,6 +209,11 @@
 // then may belong to either run; the lists of the new run tell which. Unanswered start
 // orders may still reach the new run, so it is ordered to stop those attempts.
 func (s *Shard) handleRestart(now Instant, w *workerState, run int64) {
+	// Orders that were answered may have been carried out by this run.
+	w.strayLeasesEndAt = max(w.strayLeasesEndAt, now+slowestClock(s.bounds.MaxLease))
+	for _, sent := range w.leaseOrders {
+		w.strayLeasesEndAt = max(w.strayLeasesEndAt, sent+s.maxStrayLease())
+	}
 	s.noteRestart(now, w, run)
 	w.setRun(now, run)
 	w.gone, w.heardAt = false, 0
@@ -225,16 +241,26 @@
 
 // noteRestart adds a note on the worker's next run.
 func (s *Shard) noteRestart(now Instant, w *workerState, run int64) {
-	n := RestartNote{Worker: w.info.ID, Run: run, Before: w.run}
+	n := RestartNote{Worker: w.info.ID, Run: run, Before: w.run, StrayLeases: w.strayLeases(now)}
 	if w.listsReceived != 0 {
 		n.Silent = now - w.listsReceived
 	}
-	if w.leaseOrderedAt != 0 {
-		n.LeaseAge = now - w.leaseOrderedAt
-	}
 	s.notes.Restarts = append(s.notes.Restarts, n)
 }
 
+// setFirstRun sets the run in which a worker first answers this owner. It refuses orders of
+// earlier owners from then on.
+func (s *Shard) setFirstRun(now Instant, w *workerState, run int64) {
+	w.setRun(now, run)
+	longest := now + slowestClock(s.bounds.MaxLease)
+	switch {
+	case w.recordedRun != 0 && run != w.recordedRun:
+		w.strayLeasesEndAt = longest
+	case w.strayLeasesEndAt != 0:
+		w.strayLeasesEndAt = min(w.strayLeasesEndAt, longest)
+	}
+}
+
 // setRun sets the worker's current run.
 func (w *workerState) setRun(now Instant, run int64) {
 	w.run, w.runBefore, w.runSeenAt = run, w.run, now
@@ -271,7 +297,9 @@
 }
 
 // enteredAnotherRun reports whether the worker's entry names another run than its record in the log.
-func (w *workerState) enteredAnotherRun() bool { return w.info.Started != w.recordedRun }
+func (w *workerState) enteredAnotherRun() bool {
+	return w.info.Started != 0 && w.recordedRun != 0 && w.info.Started != w.recordedRun
+}
 
 // overcommitted reports whether more is reserved on a worker than its capacity, which may
 // have shrunk since.
@@ -368,13 +396,42 @@
 	return end
 }
 
-// grantLease returns the lease end to request of the worker for a lease of the given length from
-// now.
+// strayLeases returns for how long the leases may last that orders meant for earlier runs may give
+// the present one.
+func (w *workerState) strayLeases(now Instant) time.Duration {
+	return max(0, w.strayLeasesEndAt-now)
+}
+
+// grantLease returns the lease end to request of the worker's present run for a lease of the
+// given length from now.
 func (w *workerState) grantLease(now Instant, length time.Duration) platform.WorkerTime {
-	w.leaseOrderedAt = now
+	w.leaseOrders = slices.DeleteFunc(w.leaseOrders, func(sent Instant) bool { return now >= sent+maxOrderDelay })
+	w.leaseOrders = append(w.leaseOrders, now)
 	return w.clock.extendLease(now, length)
 }
 
+// settleLeaseOrder records that an order with a lease end, sent at the time sent, will not be
+// carried out any more. mayBePresentRun is set if the worker's present run may have carried it out.
+func (s *Shard) settleLeaseOrder(now, sent Instant, w *workerState, mayBePresentRun bool) {
+	i := slices.Index(w.leaseOrders, sent)
+	if i < 0 {
+		return
+	}
+	w.leaseOrders = slices.Delete(w.leaseOrders, i, i+1)
+	longest := now + slowestClock(s.bounds.MaxLease)
+	if mayBePresentRun && w.runBefore != 0 && sent < w.runSeenAt && longest > w.strayLeasesEndAt {
+		w.strayLeasesEndAt = longest
+		if w.enrolled {
+			s.journal.enroll(w)
+		}
+	}
+}
+
+// leasesExpireAt returns when everything that runs on the worker has lost its lease at the latest.
+func (w *workerState) leasesExpireAt() Instant {
+	return max(w.clock.leasesExpireAt(), w.strayLeasesEndAt)
+}
+
 // leasesExpireAt returns when every requested lease has expired, also on the slowest
 // clock.
 func (c *workerClock) leasesExpireAt() Instant {
