--- a/internal/experiment/day/loss_test.go
+++ b/internal/experiment/day/loss_test.go
@@ -132,3 +132,30 @@
 		})
 	}
 }
+
+// TestWorkersThatRestartAtOnceBeforeChangesOfOwners guards against tasks that run twice when workers
+// are back within the time that an answer may take, the owner is lost and they are cut off.
+func TestWorkersThatRestartAtOnceBeforeChangesOfOwners(t *testing.T) {
+	t.Parallel()
+	for i := range min(*days, 6) {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			random := rand.New(rand.NewPCG(seed, 2))
+			p := Plan{
+				Hosts: 5, Workers: 24, Seconds: 40, QuietSeconds: 45, JobsPerSecond: 6, LongRunningShare: 0.2,
+				LongRunningStaySeconds: 20, Seed: seed,
+			}
+			for at := int64(14_000); at < 40_000; at += 24_000 {
+				down := 100 + random.Int64N(800)
+				restart := Fault{AtMS: at, ForMS: down, Kind: DarkenWorkers, WorkersPercent: 33, Worker: random.IntN(p.Workers), KeepEntries: true}
+				loss := drawOwnerLoss(random)
+				loss.AtMS = at + down + random.Int64N(2000)
+				cut := restart
+				cut.Kind, cut.AtMS, cut.ForMS = CutWorkers, loss.AtMS+random.Int64N(600), 9000
+				p.Faults = append(p.Faults, restart, loss, cut)
+			}
+			runDayToFinish(t, p)
+		})
+	}
+}
