The bound of stray leases is not lost with a worker's record, its state or before its first answer

Change: the record and the state stay until the bound is over; under a later owner a run that the log does not name counts as one that orders may have reached for as long as it is younger than such leases can last; the first lists of a run renew the bound. A branch that no case reached is gone.

--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -30,9 +30,9 @@
 	// quorumRenewWait applies while leases depend on when a quorum of the workers has answered.
 	quorumRenewWait = 600 * time.Millisecond
 	// listsValidity is for how long after it has read its lists a worker counts as the same
-	// run. It bounds how many orders reach a later run, which has no lower bound on the time that
-	// a restart takes: see workerState.strayLeasesEndAt. While the owner may not act it sends no
-	// renew orders, so none goes unanswered that would tell of a restart.
+	// run. A restart may be quicker: workerState.strayLeasesEndAt accounts for what reaches the
+	// next run meanwhile. While the owner may not act it sends no renew orders, so none goes
+	// unanswered that would tell of a restart.
 	listsValidity = time.Second
 	// renewAnswerTime is how long the answer to a renew order may take in addition to the
 	// wait that it allows, until its absence may be due to a restart.
@@ -92,11 +92,12 @@
 	return true
 }
 
-// RenewalWithheld records that the last renew order to a worker was not sent.
+// RenewalWithheld records that the last renew order to a worker was not sent, or is certain not to
+// be carried out.
 func (s *Shard) RenewalWithheld(id platform.WorkerID) {
 	if w, ok := s.workers[id]; ok {
 		w.renewalDue = 0
-		s.settleLeaseOrder(s.now, w.renewOrderedAt, w, false)
+		w.settleLeaseOrder(w.renewOrderedAt)
 	}
 }
 
@@ -245,7 +246,7 @@
 	s.expireLostRuns(now)
 	for _, w := range s.workers {
 		w.expireUnansweredStarts(now)
-		if !w.registered && s.idle(now, w) && now >= w.strayLeasesEndAt {
+		if !w.registered && s.idle(now, w) && w.strayOver(now) {
 			s.forgetWorker(w)
 			continue
 		}
@@ -259,7 +260,7 @@
 		for _, a := range w.attempts {
 			s.loseAttempt(now, a, "lease over")
 		}
-		if !w.registered {
+		if !w.registered && w.strayOver(now) {
 			s.forgetWorker(w)
 		}
 	}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -74,7 +74,7 @@
 // StartAnswered handles the answer to a start order. err is nil if the worker answered.
 func (s *Shard) StartAnswered(now Instant, action StartAction, answer fleet.Answer, err error) {
 	if w, ok := s.workers[action.Worker.ID]; ok && !errors.Is(err, platform.ErrOutcomeUnknown) {
-		s.settleLeaseOrder(now, action.sent, w, err == nil)
+		w.settleLeaseOrder(action.sent)
 	}
 	a := s.findAttempt(action.Worker, action.Order)
 	if a == nil {
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -16,9 +16,8 @@
 	if !ok || lists.Verdict != fleet.Accepted {
 		return
 	}
-	earlierRun := w.isEarlierRun(lists.Started, sent)
-	s.settleLeaseOrder(now, sent, w, !earlierRun)
-	if earlierRun {
+	w.settleLeaseOrder(sent)
+	if w.isEarlierRun(lists.Started, sent) {
 		return
 	}
 	if lists.Started != w.run && lists.Started != 0 {
@@ -26,9 +25,13 @@
 			w.closeRun()
 			s.handleRestart(now, w, lists.Started)
 		} else {
-			s.setFirstRun(now, w, lists.Started)
+			s.setFirstRun(now, w, lists.Started, lists.Clock)
 		}
 	}
+	if !w.listsRead() && w.runBefore != 0 {
+		// Until now orders of earlier owners may have reached this run.
+		w.strayLeasesEndAt = max(w.strayLeasesEndAt, now+slowestClock(s.bounds.MaxLease))
+	}
 	w.clock.update(now, lists.Clock)
 	s.markHeard(now, w)
 	s.markReconciled(now, w)
--- a/internal/scheduler/stray_test.go
+++ b/internal/scheduler/stray_test.go
@@ -245,3 +245,198 @@
 	must.Between(t, 5*time.Second, h.runUntilStart(20*time.Second), 6*time.Second)
 	h.checkViolations()
 }
+
+// partitionAll cuts off all workers or ends that.
+func (h *strayHarness) partitionAll(on bool) {
+	for _, id := range h.workerIDs() {
+		h.cluster.SetPartitioned(id, on)
+	}
+}
+
+// restartOne crashes and boots one worker within 600 ms.
+func (h *strayHarness) restartOne(id platform.WorkerID) {
+	h.cluster.Crash(id)
+	h.now += 600 * time.Millisecond
+	h.cluster.Boot(h.now, id)
+}
+
+// finish checks that the task starts once more, after everything that may run elsewhere has ended.
+func (h *strayHarness) finish(starts int) {
+	h.run(40 * time.Second)
+	h.checkViolations()
+	must.Eq(h.t, starts+1, h.cluster.Starts())
+}
+
+// TestTaskRunsTwiceAfterRecordOfSilentWorkerIsDeleted: the record that told of stray leases was deleted
+// since the worker was idle and silent for a second.
+func TestTaskRunsTwiceAfterRecordOfSilentWorkerIsDeleted(t *testing.T) {
+	h := newStrayHarness(t)
+	h.sendStrays()
+	h.restartAll()
+	h.deliverStrays()
+	h.noticeRestarts()
+	h.run(200 * time.Millisecond)
+	// 4 of 6 silent for 1.5 s.
+	for _, id := range h.workerIDs()[:4] {
+		h.cluster.SetPartitioned(id, true)
+	}
+	h.run(1500 * time.Millisecond)
+	before := h.claim
+	for _, id := range h.workerIDs()[4:] {
+		h.cluster.SetPartitioned(id, true)
+	}
+	for _, id := range h.workerIDs()[:4] {
+		h.cluster.SetPartitioned(id, false)
+	}
+	h.takeOver(false)
+	h.shard.PredecessorEnded(h.now, before)
+	h.run(1600 * time.Millisecond)
+	id := h.submit(firstID, fixedLength(100), nil, batchStep(1))
+	for i := 0; i < 100 && h.cluster.Running(id) == 0; i++ {
+		h.tick()
+	}
+	must.Eq(t, 1, h.cluster.Running(id))
+	starts := h.cluster.Starts()
+	h.partitionAll(true)
+	for _, x := range h.workerIDs()[4:] {
+		h.cluster.SetPartitioned(x, false)
+	}
+	h.finish(starts)
+}
+
+// TestTaskRunsTwiceOnWorkerForgottenBeforeLateOrder: a worker without an entry was forgotten with the
+// orders that it might still carry out.
+func TestTaskRunsTwiceOnWorkerForgottenBeforeLateOrder(t *testing.T) {
+	h := newStrayHarness(t)
+	h.sendStrays()
+	for _, id := range h.workerIDs() {
+		h.cluster.Crash(id)
+		h.unregistered[id] = true
+	}
+	h.now += 600 * time.Millisecond
+	for id := range h.strays {
+		h.shard.RenewFailed(h.now, h.sent, id)
+	}
+	h.run(2 * time.Second)
+	h.syncWorkers() // the entries are removed
+	h.run(100 * time.Millisecond)
+	clear(h.unregistered)
+	for _, id := range h.workerIDs() {
+		h.cluster.Boot(h.now, id)
+	}
+	h.syncWorkers()
+	h.run(200 * time.Millisecond)
+	h.deliverStrays()
+	w := h.startTask()
+	starts := h.cluster.Starts()
+	h.cluster.SetPartitioned(w, true)
+	h.finish(starts)
+}
+
+// TestTaskRunsTwiceOnWorkerWithoutRecord: a late order of an owner that had deleted the worker's record
+// reached the next run before the next owner's first order.
+func TestTaskRunsTwiceOnWorkerWithoutRecord(t *testing.T) {
+	h := newStrayHarness(t)
+	h.sendStrays()
+	for _, id := range h.workerIDs()[:4] {
+		h.cluster.Crash(id)
+		h.shard.RenewFailed(h.now, h.sent, id)
+	}
+	h.run(2 * time.Second)
+	before := h.claim
+	for _, id := range h.workerIDs()[:4] {
+		h.cluster.Boot(h.now, id)
+		lists, _ := h.cluster.Renew(h.now, id, h.strays[id])
+		must.Eq(t, fleet.Accepted, lists.Verdict)
+	}
+	for _, id := range h.workerIDs()[4:] {
+		h.cluster.SetPartitioned(id, true)
+	}
+	h.takeOver(false)
+	h.shard.PredecessorEnded(h.now, before)
+	h.run(1600 * time.Millisecond)
+	id := h.submit(firstID, fixedLength(100), nil, batchStep(1))
+	for i := 0; i < 100 && h.cluster.Running(id) == 0; i++ {
+		h.tick()
+	}
+	w := h.workersOf(job.TaskRef{Job: id})[0]
+	starts := h.cluster.Starts()
+	h.cluster.SetPartitioned(w, true)
+	for _, x := range h.workerIDs()[4:] {
+		h.cluster.SetPartitioned(x, false)
+	}
+	h.finish(starts)
+}
+
+// TestTaskRunsTwiceWithoutRecordOrEntryOfNewRun: neither the log nor an entry told the next owner of the
+// restart.
+func TestTaskRunsTwiceWithoutRecordOrEntryOfNewRun(t *testing.T) {
+	h := newStrayHarness(t)
+	h.sendStrays()
+	h.restartAll()
+	h.deliverStrays()
+	for id := range h.strays {
+		h.shard.RenewFailed(h.now, h.sent, id)
+	}
+	h.recordingPaused = true
+	h.syncWorkers()
+	id := h.submit(firstID, fixedLength(100), nil, batchStep(1))
+	h.run(400 * time.Millisecond)
+	must.Eq(t, 1, h.cluster.Running(id))
+	h.recordingPaused = false
+	starts := h.cluster.Starts()
+	w := h.workersOf(job.TaskRef{Job: id})[0]
+	h.cluster.SetPartitioned(w, true)
+	h.unregistered[w] = true
+	before := h.claim
+	h.takeOver(false)
+	h.shard.PredecessorEnded(h.now, before)
+	h.finish(starts)
+}
+
+// TestTaskRunsTwiceAfterOrderOfPredecessorToNewRun: an order of the owner before reached the new run after
+// the present owner had seen its entry and before it had called it.
+func TestTaskRunsTwiceAfterOrderOfPredecessorToNewRun(t *testing.T) {
+	t.Run("same owner", func(t *testing.T) { orderOfPredecessorAfterEntry(t, false) })
+	t.Run("next owner", func(t *testing.T) { orderOfPredecessorAfterEntry(t, true) })
+}
+
+func orderOfPredecessorAfterEntry(t *testing.T, replace bool) {
+	h := newStrayHarness(t)
+	h.sendStrays() // by the owner before
+	before := h.claim
+	h.takeOver(false)
+	h.shard.PredecessorEnded(h.now, before)
+	h.run(2 * time.Second)
+	h.restartAll()
+	h.partitionAll(true)
+	h.syncWorkers()
+	h.run(3 * time.Second)
+	h.partitionAll(false)
+	h.deliverStrays()
+	w := h.startTask()
+	starts := h.cluster.Starts()
+	h.cluster.SetPartitioned(w, true)
+	if replace {
+		before := h.claim
+		h.takeOver(false)
+		h.shard.PredecessorEnded(h.now, before)
+	}
+	h.finish(starts)
+}
+
+// TestTaskRunsTwiceOnRunThatOwnerDoesNotSee: the owner gave up a start that a run without an entry had
+// carried out.
+func TestTaskRunsTwiceOnRunThatOwnerDoesNotSee(t *testing.T) {
+	h := newStrayHarness(t)
+	h.submit(firstID, fixedLength(100), nil, batchStep(1))
+	start := h.beginOnlyStart()
+	h.unregistered[start.Worker.ID] = true
+	h.restartOne(start.Worker.ID)
+	answer, _ := h.cluster.Start(h.now, start.Worker.ID, start.Order)
+	must.Eq(t, fleet.Accepted, answer.Verdict)
+	h.cluster.SetPartitioned(start.Worker.ID, true)
+	h.shard.StartAnswered(h.now, start, fleet.Answer{}, platform.ErrOutcomeUnknown)
+	starts := h.cluster.Starts()
+	h.finish(starts)
+}
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -217,28 +217,29 @@
 }
 
 // leasesExpired reports whether all leases have expired on a worker that no owner after
-// the given claim has reached.
-func (t *takeover) leasesExpired(now Instant, claim uint32) bool {
+// the given claim has reached, if a lease may last for stray after its order was sent.
+func (t *takeover) leasesExpired(now Instant, claim uint32, stray time.Duration) bool {
 	if claim == 0 {
 		return true
 	}
 	if t.claimRecordedAt == 0 {
 		return false
 	}
+	residual := max(maxResidualLease, stray)
 	// A quorum under a later owner may be one of workers that it has enrolled first.
 	bounded := t.boundsLeases(claim)
-	if !bounded && t.quorumAt != 0 && now >= max(t.quorumAt, t.claimRecordedAt)+maxLeaseAfterQuorum {
+	if !bounded && t.quorumAt != 0 && now >= max(t.quorumAt, t.claimRecordedAt)+AuthorityWindow+residual {
 		return true
 	}
 	last := len(t.predecessors) - 1
 	for i, p := range t.predecessors {
-		if !bounded && p.Claim > claim && p.QuorumAt != 0 && now >= p.QuorumAt+maxLeaseAfterQuorum {
+		if !bounded && p.Claim > claim && p.QuorumAt != 0 && now >= p.QuorumAt+AuthorityWindow+residual {
 			return true
 		}
 		if p.Claim < claim {
 			continue
 		}
-		if p.Claim == claim && bounded && p.SuccessionAt != 0 && now >= p.SuccessionAt+maxLeaseAfterSuccession {
+		if p.Claim == claim && bounded && p.SuccessionAt != 0 && now >= p.SuccessionAt+maxLeaseAfterSuccession+stray {
 			return true
 		}
 		end := p.ReplacedAt
@@ -252,7 +253,7 @@
 		if p.Claim == claim && p.EndedAt != 0 {
 			end = min(end, p.EndedAt)
 		}
-		if now >= end+maxResidualLease {
+		if now >= end+residual {
 			return true
 		}
 	}
@@ -265,10 +266,6 @@
 	return i >= 0 && t.predecessors[i].BoundsLeases
 }
 
-// maxLeaseAfterQuorum is how long earlier owners' leases may last once a quorum has
-// accepted a later token.
-const maxLeaseAfterQuorum = AuthorityWindow + maxResidualLease
-
 // confirmedTime returns the time up to which no later owner can have extended leases, as the log
 // shows. What was to expire later may have been extended.
 func (s *Shard) confirmedTime(now Instant) Instant { return min(now, s.proof.confirmedAt) }
@@ -287,11 +284,12 @@
 	if confirmed < w.strayLeasesEndAt {
 		return false
 	}
+	stray := time.Duration(0)
 	if w.enteredAnotherRun() {
 		// Any order of earlier owners may have reached that run.
-		confirmed -= s.maxStrayLease()
+		stray = s.maxStrayLease()
 	}
-	return s.takeover.leasesExpired(confirmed, w.previousClaim) || w.closedBefore(confirmed-maxResidualLease)
+	return s.takeover.leasesExpired(confirmed, w.previousClaim, stray) || w.closedBefore(confirmed-max(maxResidualLease, stray))
 }
 
 // maxStrayLease is how long a lease may last after its order was sent if the worker has restarted
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -65,11 +65,11 @@
 	clock             workerClock
 	// renewOrderedAt is when the last renew order was prepared.
 	renewOrderedAt Instant
-	// leaseOrders are when the orders with a lease end were sent that the worker may not have
-	// carried out yet. strayLeasesEndAt is when the leases are over at the latest that orders meant
-	// for earlier runs may give the present one, or zero; strayRecorded is set while the log tells
-	// of them.
-	leaseOrders      []Instant
+	// openLeaseOrders are the times at which orders with a lease end were sent that may still be
+	// carried out. strayLeasesEndAt is when the leases are over at the latest that orders meant for
+	// earlier runs may give the present one, or zero; strayRecorded is set while the log tells of
+	// them.
+	openLeaseOrders  []Instant
 	strayLeasesEndAt Instant
 	strayRecorded    bool
 	attempts         map[job.TaskRef]*attempt
@@ -167,7 +167,7 @@
 		return
 	}
 	w.registered = false
-	if s.idle(now, w) && now >= w.strayLeasesEndAt {
+	if s.idle(now, w) && w.strayOver(now) {
 		s.forgetWorker(w)
 	}
 }
@@ -211,7 +211,7 @@
 func (s *Shard) handleRestart(now Instant, w *workerState, run int64) {
 	// Orders that were answered may have been carried out by this run.
 	w.strayLeasesEndAt = max(w.strayLeasesEndAt, now+slowestClock(s.bounds.MaxLease))
-	for _, sent := range w.leaseOrders {
+	for _, sent := range w.openLeaseOrders {
 		w.strayLeasesEndAt = max(w.strayLeasesEndAt, sent+s.maxStrayLease())
 	}
 	s.noteRestart(now, w, run)
@@ -248,14 +248,15 @@
 	s.notes.Restarts = append(s.notes.Restarts, n)
 }
 
-// setFirstRun sets the run in which a worker first answers this owner. It refuses orders of
-// earlier owners from then on.
-func (s *Shard) setFirstRun(now Instant, w *workerState, run int64) {
+// setFirstRun sets the run in which a worker first answers this owner, at the time clock on its
+// clock. The run refuses orders of earlier owners from then on. If the log does not name it, an
+// earlier owner may have called the run before, unless that ended too long ago.
+func (s *Shard) setFirstRun(now Instant, w *workerState, run int64, clock platform.WorkerTime) {
 	w.setRun(now, run)
 	longest := now + slowestClock(s.bounds.MaxLease)
 	switch {
-	case w.recordedRun != 0 && run != w.recordedRun:
-		w.strayLeasesEndAt = longest
+	case run != w.recordedRun && len(s.takeover.predecessors) > 0:
+		w.strayLeasesEndAt = min(longest, now+max(0, s.maxStrayLease()-time.Duration(clock)))
 	case w.strayLeasesEndAt != 0:
 		w.strayLeasesEndAt = min(w.strayLeasesEndAt, longest)
 	}
@@ -405,28 +406,25 @@
 // grantLease returns the lease end to request of the worker's present run for a lease of the
 // given length from now.
 func (w *workerState) grantLease(now Instant, length time.Duration) platform.WorkerTime {
-	w.leaseOrders = slices.DeleteFunc(w.leaseOrders, func(sent Instant) bool { return now >= sent+maxOrderDelay })
-	w.leaseOrders = append(w.leaseOrders, now)
+	w.openLeaseOrders = slices.DeleteFunc(w.openLeaseOrders, func(sent Instant) bool { return now >= sent+maxOrderDelay })
+	w.openLeaseOrders = append(w.openLeaseOrders, now)
 	return w.clock.extendLease(now, length)
 }
 
 // settleLeaseOrder records that an order with a lease end, sent at the time sent, will not be
-// carried out any more. mayBePresentRun is set if the worker's present run may have carried it out.
-func (s *Shard) settleLeaseOrder(now, sent Instant, w *workerState, mayBePresentRun bool) {
-	i := slices.Index(w.leaseOrders, sent)
-	if i < 0 {
-		return
-	}
-	w.leaseOrders = slices.Delete(w.leaseOrders, i, i+1)
-	longest := now + slowestClock(s.bounds.MaxLease)
-	if mayBePresentRun && w.runBefore != 0 && sent < w.runSeenAt && longest > w.strayLeasesEndAt {
-		w.strayLeasesEndAt = longest
-		if w.enrolled {
-			s.journal.enroll(w)
-		}
+// carried out any more.
+func (w *workerState) settleLeaseOrder(sent Instant) {
+	if i := slices.Index(w.openLeaseOrders, sent); i >= 0 {
+		w.openLeaseOrders = slices.Delete(w.openLeaseOrders, i, i+1)
 	}
 }
 
+// strayOver reports whether no order for an earlier run of the worker can give a lease any more or
+// has given one that lasts, also if the worker has restarted since it last answered.
+func (w *workerState) strayOver(now Instant) bool {
+	return now >= w.strayLeasesEndAt && !slices.ContainsFunc(w.openLeaseOrders, func(sent Instant) bool { return now < sent+maxOrderDelay })
+}
+
 // leasesExpireAt returns when everything that runs on the worker has lost its lease at the latest.
 func (w *workerState) leasesExpireAt() Instant {
 	return max(w.clock.leasesExpireAt(), w.strayLeasesEndAt)
