A renewal prepared for the run before is not sent to the next one

Callers saw: nothing; found by review. A renewal that was prepared before a restart became known was still current afterwards: its lease end and its acknowledgement are those of the run before. Change: RenewalCurrent compares the runs, as StartCurrent does.

--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -57,7 +57,7 @@
 		return fleet.Worker{}, fleet.RenewOrder{}, false
 	}
 	o := fleet.RenewOrder{Token: s.epoch}
-	w.renewOrderedAt = now
+	w.renewOrderedAt, w.renewOrderedRun = now, w.run
 	sameRun := !w.mayHaveRestarted(now)
 	if sameRun {
 		// A new run numbers its ends anew.
@@ -85,7 +85,7 @@
 	if !ok || o.LeaseEnd == 0 && o.Acknowledged == 0 {
 		return ok
 	}
-	if w.mayHaveRestarted(now) {
+	if w.run != w.renewOrderedRun || w.mayHaveRestarted(now) {
 		s.RenewalWithheld(id)
 		return false
 	}
--- a/internal/scheduler/stray_test.go
+++ b/internal/scheduler/stray_test.go
@@ -440,3 +440,16 @@
 	starts := h.cluster.Starts()
 	h.finish(starts)
 }
+
+// TestRenewalPreparedForRunBeforeIsSent: a renewal was sent to a run that was known to be another than the
+// one that it was prepared for.
+func TestRenewalPreparedForRunBeforeIsSent(t *testing.T) {
+	h := newStrayHarness(t)
+	id := h.workerIDs()[0]
+	_, order, _ := h.shard.RenewOrder(h.now, id)
+	h.cluster.Crash(id)
+	h.now += 100 * time.Millisecond
+	h.cluster.Boot(h.now, id)
+	h.syncWorkers()
+	must.False(t, h.shard.RenewalCurrent(h.now, id, order))
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -63,8 +63,9 @@
 	// was sent, or zero.
 	unresponsiveSince Instant
 	clock             workerClock
-	// renewOrderedAt is when the last renew order was prepared.
-	renewOrderedAt Instant
+	// renewOrderedAt is when the last renew order was prepared, and renewOrderedRun for which run.
+	renewOrderedAt  Instant
+	renewOrderedRun int64
 	// openLeaseOrders are the times at which orders with a lease end were sent that may still be
 	// carried out. strayLeasesEndAt is when the leases are over at the latest that orders meant for
 	// earlier runs may give the present one, or zero; strayRecorded is set while the log tells of
