A progress record that outgrows the store is split, and one that is refused holds up no other

Cause: each lost task adds a crash to its job's progress record, which exceeds the store's 262,144 bytes from some 7,300 on. The owner took the refusal for a store that is away and repeated the append, with the records of all other jobs and workers, for ever. Change: above MaxRecordBytes the facts of 256 tasks each go into parts, of which only changed ones are written; checkpoints that were left out before are kept, unless they do not fit into a part. A refused append is halved until the refused records are alone; these are logged (7217) and set aside until their job or worker changes, else for 10 s, and do not count as recorded meanwhile. Without the waits for refused records TestRefusedCrashHoldsUpItsTaskOnly (a task starts) and TestRefusedEndIsNotAcknowledged (4 starts instead of 2) fail. Tests changed: TestProgressRecordStaysWritable asks for all facts and checkpoints in the table that hosts build, where it took a share of the checkpoints before; TestUnknownStateIsSkipped and the owners' simulation call the new function.

--- a/internal/process/dispatch/record.go
+++ b/internal/process/dispatch/record.go
@@ -161,22 +161,21 @@
 		d.unrecorded.Store(false)
 		return
 	}
-	started := d.Clock()
-	n := store.Fitting(b.records, d.AppendBytes)
-	err := d.appendRecords(w, b.records[:n])
-	for _, pending := range b.writes {
-		pending.done <- err
-	}
-	if err == nil {
-		// The tasks of a job that was cancelled must stop even if a later append fails.
-		d.OnRecorded(b.records[:n])
-	}
-	untouched := err != nil
-	for rest := b.records[n:]; err == nil && len(rest) > 0; rest = rest[n:] {
-		n = store.Fitting(rest, d.AppendBytes)
-		if err = d.appendRecords(w, rest[:n]); err == nil {
-			d.OnRecorded(rest[:n])
+	started, untouched := d.Clock(), true
+	var err error
+	for rest, writes := b.records, b.writes; err == nil && len(rest) > 0; writes = nil {
+		n := store.Fitting(rest, d.AppendBytes)
+		outcomes := d.appendEach(w, rest[:n])
+		for i, pending := range writes {
+			pending.done <- outcomes[i]
 		}
+		var written []store.Record
+		if written, err = d.sortOutcomes(&b, rest[:n], outcomes); len(written) > 0 {
+			untouched = false
+			// The tasks of a job that was cancelled must stop even if a later append fails.
+			d.OnRecorded(written)
+		}
+		rest = rest[n:]
 	}
 	switch {
 	case err == nil:
@@ -193,6 +192,39 @@
 	}
 }
 
+// appendEach appends records, and separately those beside which the store refuses others for
+// what they contain. It returns the outcome of each; after one that is no refusal the rest was
+// not tried.
+func (d *Dispatcher) appendEach(w *store.Writer, records []store.Record) []error {
+	err := d.appendRecords(w, records)
+	if len(records) == 1 || !errors.Is(err, store.ErrRejected) {
+		return slices.Repeat([]error{err}, len(records))
+	}
+	half := len(records) / 2
+	outcomes := d.appendEach(w, records[:half])
+	if last := outcomes[half-1]; last != nil && !errors.Is(last, store.ErrRejected) {
+		return append(outcomes, slices.Repeat([]error{last}, len(records)-half)...)
+	}
+	return append(outcomes, d.appendEach(w, records[half:])...)
+}
+
+// sortOutcomes returns the records that were written and the error of an append that was not
+// refused for what it contains. Refused records are logged and set aside.
+func (d *Dispatcher) sortOutcomes(b *batch, records []store.Record, outcomes []error) (written []store.Record, err error) {
+	for i, r := range records {
+		switch {
+		case outcomes[i] == nil:
+			written = append(written, r)
+		case errors.Is(outcomes[i], store.ErrRejected):
+			event.RecordRefused.Log(d.Logger, logrus.Fields{"key": r.Key, "bytes": len(r.Value), "error": outcomes[i]})
+			b.progress.Refuse(job.Subject(r))
+		default:
+			err = outcomes[i]
+		}
+	}
+	return written, err
+}
+
 // collectBatch returns everything that has to be recorded. Callers' records that do not
 // fit into the first append stay pending.
 func (d *Dispatcher) collectBatch() batch {
@@ -207,13 +239,14 @@
 		signal(d.recordRequested)
 	}
 	d.mu.Unlock()
-	for _, c := range b.progress.Changes {
-		r, err := job.ProgressRecord(c.ID, &c.Progress)
+	for i := range b.progress.Changes {
+		c := &b.progress.Changes[i]
+		records, parts, err := job.ProgressRecords(c.ID, &c.Progress, c.Parts)
 		if err != nil {
 			event.RecordNotEncoded.Log(d.Logger, logrus.Fields{"job": c.ID, "error": err})
 			continue
 		}
-		b.records = append(b.records, r)
+		b.records, c.Parts = append(b.records, records...), parts
 	}
 	d.addWorkerRecords(&b)
 	d.addOwnershipRecord(&b)
--- a/internal/process/dispatch/write_test.go
+++ b/internal/process/dispatch/write_test.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/store"
 	"github.com/siskinvane/siskinvane/internal/scheduler"
@@ -39,14 +40,20 @@
 	store.Store
 	unavailable, unresponsive atomic.Bool
 	refusedKey                string
+	// rejectedKey is the key of a record that is rejected unless rejectNothing is set.
+	rejectedKey   string
+	rejectNothing atomic.Bool
+	rejections    atomic.Int64
 }
 
 // Append implements store.Store.
 func (s *faultyStore) Append(ctx context.Context, _ store.Partition, records []store.Record, _ *store.Writer) (platform.Offset, error) {
 	refused := slices.ContainsFunc(records, func(r store.Record) bool { return r.Key == s.refusedKey })
 	tooLarge := slices.ContainsFunc(records, func(r store.Record) bool { return len(r.Value) > maxRecordBytes })
+	rejected := !s.rejectNothing.Load() && slices.ContainsFunc(records, func(r store.Record) bool { return r.Key == s.rejectedKey })
 	switch {
-	case tooLarge:
+	case tooLarge || rejected:
+		s.rejections.Add(1)
 		return 0, store.ErrRejected
 	case s.unavailable.Load() || refused:
 		return 0, store.ErrUnavailable
@@ -179,6 +186,59 @@
 	})
 }
 
+// TestCrashesOfLargeJobBlockNoOtherRecords: a lost domain added a crash to each of thousands of
+// tasks of a job; the store refused its progress for ever, and with it the records of all others.
+func TestCrashesOfLargeJobBlockNoOtherRecords(t *testing.T) {
+	withDispatcher(t, &faultyStore{}, func(d *Dispatcher) {
+		large := job.Entry{ID: "00000000000000a1", Submission: &job.Submission{
+			MaxFailures: 1, TargetMS: 1000, Spec: job.Spec{Steps: []job.Step{{Tasks: 10_000}, {Tasks: 10_000}}},
+		}}
+		large.Progress = job.Progress{State: job.Running, Crashes: map[int][]job.Crash{}}
+		for i := range 10_000 {
+			large.Progress.Crashes[i] = []job.Crash{{Worker: "worker-01", Run: 1_700_000_000_000, Over: true}}
+		}
+		d.AddJobs([]job.Entry{large})
+		large.Cancelled = true
+		d.AddJobs([]job.Entry{large})
+		_, err := d.timedWrite(time.Second)
+		must.NoError(t, err)
+	})
+}
+
+// TestRejectedRecordHoldsUpNoOther: a record that the store rejects for what it contains was tried
+// again at once, for ever, with all records beside it.
+func TestRejectedRecordHoldsUpNoOther(t *testing.T) {
+	entry := func(id job.ID) job.Entry {
+		return job.Entry{ID: id, Cancelled: true, Submission: &job.Submission{Spec: job.Spec{Steps: []job.Step{{Tasks: 1}}}}}
+	}
+	rejected, accepted := entry("00000000000000a1"), entry("00000000000000a2")
+	s := &faultyStore{rejectedKey: "p" + string(rejected.ID)}
+	logger, logged := test.NewNullLogger()
+	withConfiguredDispatcher(t, s, func(c *Config) { c.Logger = logger }, func(d *Dispatcher) {
+		d.AddJobs([]job.Entry{rejected, accepted})
+		_, err := d.timedWrite(time.Second)
+		must.NoError(t, err)
+		time.Sleep(time.Second)
+		_, known := d.State(accepted.ID)
+		must.False(t, known, must.Sprint("its end is recorded"))
+		// The first append that contains it is repeated without the records beside it only.
+		tries := s.rejections.Load()
+		must.Between(t, 1, tries, 4)
+		time.Sleep(5 * time.Second)
+		must.Eq(t, tries, s.rejections.Load())
+		state, known := d.State(rejected.ID)
+		must.True(t, known)
+		must.False(t, state.Final(), must.Sprint("its end is not recorded"))
+		s.rejectNothing.Store(true)
+		time.Sleep(15 * time.Second)
+		_, known = d.State(rejected.ID)
+		must.False(t, known)
+	})
+	i := slices.IndexFunc(logged.AllEntries(), func(e *logrus.Entry) bool { return e.Data["key"] == s.rejectedKey })
+	must.GreaterEq(t, 0, i)
+	must.MapContainsKey(t, logged.AllEntries()[i].Data, "bytes")
+}
+
 // TestLargeLearnedStateBlocksNoOtherRecords: what was learned of many images was rejected by
 // the store every few seconds, and with it the records of callers and jobs.
 func TestLargeLearnedStateBlocksNoOtherRecords(t *testing.T) {
--- a/internal/process/event/job.go
+++ b/internal/process/event/job.go
@@ -44,6 +44,7 @@
 	WorkersUnheard    = declare(7214, logrus.InfoLevel, "workers of earlier owners not heard")
 	WorkerRestarted   = declare(7215, logrus.InfoLevel, "worker restarted")
 	RecordNotEncoded  = declare(7204, logrus.ErrorLevel, "record not encoded")
+	RecordRefused     = declare(7217, logrus.ErrorLevel, "record refused")
 	RecordDelayed     = declare(7205, logrus.WarnLevel, "record delayed")
 	RecordUnreadable  = declare(7206, logrus.WarnLevel, "record unreadable")
 
--- a/internal/process/node/jobs.go
+++ b/internal/process/node/jobs.go
@@ -101,7 +101,7 @@
 	var records []store.Record
 	now := time.Now()
 	for _, id := range n.table.Expired(now.Add(-n.Retention-retentionSkew).UnixMilli(), limit) {
-		records = append(records, job.DeletionRecords(id)...)
+		records = append(records, job.DeletionRecords(id, n.table.Parts(id)...)...)
 	}
 	for _, id := range n.table.ExpiredCancellations(n.Clock(), now.UnixMilli(), n.cancellationRetention(), limit) {
 		records = append(records, job.CancellationDeletionRecord(id))
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -49,6 +49,8 @@
 	unregistered map[platform.WorkerID]bool
 	// recordingPaused suspends recording, as during an outage of the store.
 	recordingPaused bool
+	// refused is a job whose records the log refuses, or empty.
+	refused job.ID
 	// readingPaused suspends the reading of the log.
 	readingPaused  bool
 	throttleOrders []scheduler.ThrottleAction
@@ -312,6 +314,10 @@
 	}
 	u := h.shard.TakeUnrecorded(h.now.Milliseconds())
 	for _, c := range u.Changes {
+		if c.ID == h.refused {
+			u.Refuse(c.ID, "")
+			continue
+		}
 		h.log[c.ID] = c.Progress
 	}
 	for _, e := range u.Enrolled {
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"maps"
 	"math/bits"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -88,6 +86,8 @@
 	// Settled names, for each long-running task, the last attempt that has run for so long
 	// that a crash of its worker says nothing about the task.
 	Settled map[int]platform.Attempt `cbor:"8,keyasint,omitempty"`
+	// Split is set if the record holds only the state and Done: the rest is in parts.
+	Split bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Crash is a run of a worker that was lost while an attempt of a task may have been
@@ -234,31 +234,6 @@
 	return s, nil
 }
 
-// MaxRecordBytes is the size above which records that an owner writes are shortened or left
-// out. It is below the store's limit for a record.
-const MaxRecordBytes = 192 << 10
-
-// ProgressRecord returns the progress record of a job. Checkpoints that do not fit into it
-// are left out: under a later owner, their tasks start from the beginning.
-func ProgressRecord(id ID, p *Progress) (store.Record, error) {
-	key := progressKey + string(id)
-	r, err := encodeRecord(key, p)
-	if err != nil || len(r.Value) <= MaxRecordBytes {
-		return r, err
-	}
-	shortened := *p
-	shortened.Checkpoints = maps.Clone(p.Checkpoints)
-	excess := len(r.Value) - MaxRecordBytes
-	for _, number := range slices.Backward(slices.Sorted(maps.Keys(p.Checkpoints))) {
-		if excess <= 0 {
-			break
-		}
-		excess -= len(p.Checkpoints[number])
-		delete(shortened.Checkpoints, number)
-	}
-	return encodeRecord(key, &shortened)
-}
-
 // CancellationRecord returns the record that cancels a job. atMS is the host's wall-clock
 // time in Unix milliseconds. Earlier versions wrote a value without a time; any value but an
 // empty one, which deletes the key, cancels the job.
@@ -317,12 +292,16 @@
 // deletes a cancellation that does not exist.
 func NoOpRecord() store.Record { return store.Record{Key: cancellationKey + noJob} }
 
-// DeletionRecords returns the records that delete all keys of a job. The submission is
-// deleted last, because a job without one is unknown.
-func DeletionRecords(id ID) []store.Record {
-	return []store.Record{
-		{Key: progressKey + string(id)}, {Key: cancellationKey + string(id)}, {Key: submissionKey + string(id)},
+// DeletionRecords returns the records that delete all keys of a job, whose progress has the
+// given parts. The submission is deleted last, because a job without one is unknown.
+func DeletionRecords(id ID, parts ...int) []store.Record {
+	var records []store.Record
+	for _, part := range parts {
+		records = append(records, store.Record{Key: partKey(id, part)})
 	}
+	return append(records,
+		store.Record{Key: progressKey + string(id)}, store.Record{Key: cancellationKey + string(id)}, store.Record{Key: submissionKey + string(id)},
+	)
 }
 
 func encodeRecord(key string, v any) (store.Record, error) {
--- a/internal/scheduler/job/record_test.go
+++ b/internal/scheduler/job/record_test.go
@@ -1,12 +1,16 @@
 package job_test
 
 import (
+	"bytes"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/shoenig/test/must"
+	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/store"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
@@ -54,10 +58,10 @@
 func TestUnknownStateIsSkipped(t *testing.T) {
 	submitted, err := job.SubmissionRecord(jobID, &job.Submission{Spec: job.Spec{Steps: []job.Step{{Tasks: 1}}}})
 	must.NoError(t, err)
-	progress, err := job.ProgressRecord(jobID, &job.Progress{State: job.Cancelled + 1, Revision: 2})
+	progress, _, err := job.ProgressRecords(jobID, &job.Progress{State: job.Cancelled + 1, Revision: 2}, nil)
 	must.NoError(t, err)
 	table := job.NewTable()
-	_, err = table.Apply(page(submitted, progress), time.Second)
+	_, err = table.Apply(page(submitted, progress[0]), time.Second)
 	must.ErrorContains(t, err, string(jobID))
 	e, known := table.Get(jobID)
 	must.True(t, known)
@@ -82,6 +86,7 @@
 	f.Add("j"+string(jobID), valid)
 	f.Add("p"+string(jobID), []byte{0xa1, 0x01, 0x02})
 	f.Add("p"+string(jobID), []byte{0xa2, 0x01, 0x09, 0x06, 0x01})
+	f.Add("p"+string(jobID)+"/0", []byte{0xa2, 0x02, 0x41, 0xff, 0x06, 0x01})
 	f.Add("c"+string(jobID), []byte{1})
 	f.Add("owner", []byte{0xa1, 0x03, 0x02})
 	owner, err := job.OwnershipRecord(job.Ownership{Epoch: 3, Claim: 3}, []job.PastTerm{{Claim: 1, ReplacedAge: time.Second}, {Claim: 2}})
@@ -110,29 +115,126 @@
 	})
 }
 
-// TestProgressRecordStaysWritable: the progress of a job with many stopped tasks exceeded the
-// store's limit for a record and was refused without end.
-func TestProgressRecordStaysWritable(t *testing.T) {
-	const tasks = 20_000
-	p := job.Progress{State: job.Running, Failures: map[int]job.Attempts{7: {1, 2}}, Checkpoints: map[int]string{}}
+// largeProgress returns a running job's progress with facts of each of its tasks.
+func largeProgress(tasks int) job.Progress {
+	p := job.Progress{
+		State: job.Running, Revision: 7, Failures: map[int]job.Attempts{}, Checkpoints: map[int]string{},
+		Crashes: map[int][]job.Crash{}, Settled: map[int]platform.Attempt{},
+	}
 	for i := range tasks {
 		p.Done.Add(tasks + i)
+		p.Failures[i] = job.Attempts{1, 2}
 		p.Checkpoints[i] = fmt.Sprintf("%016x", i)
+		p.Crashes[i] = []job.Crash{{Worker: "worker-0123456789", Run: 1_700_000_000_000, Over: true}}
+		p.Settled[i] = 3
+	}
+	return p
+}
+
+// recordsOf returns the records of a progress, each of which the store takes.
+func recordsOf(t *testing.T, p job.Progress, known job.Parts) ([]store.Record, job.Parts) {
+	t.Helper()
+	records, parts, err := job.ProgressRecords(jobID, &p, known)
+	must.NoError(t, err)
+	for _, r := range records {
+		must.LessEq(t, job.MaxRecordBytes, len(r.Value))
 	}
+	return records, parts
+}
+
+// tableWith returns a table with a job of the given number of occurrences of 40,000 tasks.
+func tableWith(t *testing.T, occurrences int, records ...store.Record) *job.Table {
+	t.Helper()
+	steps := []job.Step{{Tasks: 10_000}, {Tasks: 10_000}, {Tasks: 10_000}, {Tasks: 10_000}}
+	submitted, err := job.SubmissionRecord(jobID, &job.Submission{Spec: job.Spec{Steps: steps, Occurrences: occurrences}})
+	must.NoError(t, err)
+	table := job.NewTable()
+	apply(t, table, time.Second, append([]store.Record{submitted}, records...)...)
+	return table
+}
+
+// TestProgressRecordStaysWritable: the progress of a job with many stopped or lost tasks exceeded
+// the store's limit for a record and was refused without end.
+func TestProgressRecordStaysWritable(t *testing.T) {
 	for _, state := range []job.State{job.Running, job.Cancelled} {
+		p := largeProgress(20_000)
 		p.State = state
-		r, err := job.ProgressRecord(jobID, &p)
-		must.NoError(t, err)
-		must.LessEq(t, job.MaxRecordBytes, len(r.Value))
-		must.MapLen(t, tasks, p.Checkpoints)
-		var recorded job.Progress
-		must.NoError(t, cbor.Unmarshal(r.Value, &recorded))
-		must.Eq(t, p.State, recorded.State)
-		must.Eq(t, p.Done, recorded.Done)
-		must.Eq(t, p.Failures, recorded.Failures)
-		must.Greater(t, job.MaxRecordBytes/40, len(recorded.Checkpoints))
-		for i, checkpoint := range recorded.Checkpoints {
-			must.Eq(t, p.Checkpoints[i], checkpoint)
-		}
+		records, _ := recordsOf(t, p, nil)
+		slices.Reverse(records)
+		e := tableWith(t, 1, records...).All()[0]
+		must.Positive(t, len(e.Parts))
+		e.Progress.Split = false
+		must.Eq(t, p, e.Progress)
+	}
+}
+
+// TestDoneTasksOfManyOccurrencesStayWritable: the set of done tasks of a schedule outgrew its
+// record.
+func TestDoneTasksOfManyOccurrencesStayWritable(t *testing.T) {
+	const occurrences = 100
+	p := job.Progress{Revision: 1}
+	for i := 0; i < occurrences*40_000; i += 3 {
+		p.Done.Add(i)
+	}
+	records, _ := recordsOf(t, p, nil)
+	must.Eq(t, p.Done, tableWith(t, occurrences, records...).All()[0].Progress.Done)
+}
+
+// TestLongCheckpointsAreLeftOut guards against a part that outgrows its record for what tasks
+// report: only checkpoints are left out.
+func TestLongCheckpointsAreLeftOut(t *testing.T) {
+	p := largeProgress(20_000)
+	p.Checkpoints = map[int]string{}
+	for i := range 256 {
+		p.Checkpoints[i] = strings.Repeat("x", 4000)
+	}
+	records, _ := recordsOf(t, p, nil)
+	read := tableWith(t, 1, records...).All()[0].Progress
+	must.Between(t, 30, len(read.Checkpoints), 255)
+	must.Eq(t, p.Crashes, read.Crashes)
+}
+
+// TestOnlyChangedPartsAreWritten guards against an owner's link that carries all of a large job's
+// progress at each end of a task, and against parts of an earlier owner that outlive their facts.
+func TestOnlyChangedPartsAreWritten(t *testing.T) {
+	p := largeProgress(20_000)
+	first, parts := recordsOf(t, p, nil)
+	p.Revision++
+	delete(p.Crashes, 5)
+	records, _ := recordsOf(t, p, parts)
+	must.Len(t, 2, records)
+
+	table := tableWith(t, 1, first...)
+	next := table.All()[0]
+	for i := range 19_000 {
+		delete(p.Crashes, i)
+		delete(p.Failures, i)
+		delete(p.Checkpoints, i)
+		delete(p.Settled, i)
+	}
+	p.Done = job.BitSet(bytes.Repeat([]byte{1}, 120_000))
+	records, _ = recordsOf(t, p, next.Parts)
+	apply(t, table, 2*time.Second, records...)
+	must.Eq(t, p.Crashes, table.All()[0].Progress.Crashes)
+	must.Len(t, len(next.Parts)+3, job.DeletionRecords(jobID, table.Parts(jobID)...))
+}
+
+// TestInterruptedSplitLosesNothing guards against an owner that ends between the appends of a
+// split progress: each fact is then the one before or the new one.
+func TestInterruptedSplitLosesNothing(t *testing.T) {
+	small := largeProgress(100)
+	whole, _ := recordsOf(t, small, nil)
+	large := largeProgress(20_000)
+	large.Revision = 8
+	large.Failures[1] = job.Attempts{1, 2, 3}
+	records, parts := recordsOf(t, large, nil)
+	for n := range len(records) {
+		e := tableWith(t, 1, append(slices.Clone(whole), records[:n]...)...).All()[0]
+		must.GreaterEq(t, 100, len(e.Progress.Crashes))
+		must.Len(t, 2+min(n, 1), e.Progress.Failures[1])
 	}
+	// One record again, of this version or one that has not read the parts.
+	small.Revision = 9
+	whole, _ = recordsOf(t, small, parts)
+	must.Eq(t, small, tableWith(t, 1, append(records, whole...)...).All()[0].Progress)
 }
--- a/internal/scheduler/job/table.go
+++ b/internal/scheduler/job/table.go
@@ -20,7 +20,12 @@
 	ID         ID
 	Submission *Submission
 	Cancelled  bool
-	Progress   Progress
+	// Progress is that of the job's own record in entries from Get, and includes the parts in
+	// all others.
+	Progress Progress
+	// Parts are the parts of the progress that the log has.
+	Parts Parts
+	parts map[int]Progress
 }
 
 // State returns the job's state as reported to callers.
@@ -78,7 +83,7 @@
 			firstErr = fmt.Errorf("record at offset %d: %w", r.Offset, err)
 		}
 		if e != nil {
-			changed = append(changed, *e)
+			changed = append(changed, e.whole())
 		}
 		enrolled = enrolled || strings.HasPrefix(r.Key, enrollmentKey) && len(r.Value) > 0
 	}
@@ -109,6 +114,9 @@
 }
 
 func (t *Table) apply(r store.Record, now time.Duration) (*Entry, error) {
+	if id, part, ok := splitPartKey(r.Key); ok {
+		return nil, t.applyPart(id, part, r.Value)
+	}
 	kind, id := splitKey(r.Key)
 	switch kind {
 	case submissionKey, cancellationKey, enrollmentKey, waveKey:
@@ -311,7 +319,7 @@
 	all := make([]Entry, 0, len(t.jobs))
 	for _, e := range t.jobs {
 		if e.Submission != nil {
-			all = append(all, *e)
+			all = append(all, e.whole())
 		}
 	}
 	return all
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -19,6 +19,10 @@
 	cancelled bool
 	// recorded is the last state in the log.
 	recorded job.State
+	// parts are the parts of the progress that the log has.
+	parts job.Parts
+	// refused is set while the log lacks a change of the job since the store has refused it.
+	refused bool
 	// endNote is reported once the job's end is in the log, and so visible to callers.
 	endNote *JobEndedNote
 	// occurrences are the occurrences created so far, each with its steps.
@@ -126,7 +130,7 @@
 		return
 	}
 	j := &jobState{
-		id: e.ID, sub: e.Submission, progress: cloneProgress(e.Progress),
+		id: e.ID, sub: e.Submission, progress: cloneProgress(e.Progress), parts: e.Parts,
 		recorded: e.Progress.State, started: e.Progress.State == job.Running, beforeTakeover: beforeTakeover,
 	}
 	s.jobs[e.ID] = j
--- a/internal/scheduler/journal.go
+++ b/internal/scheduler/journal.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
@@ -24,6 +26,38 @@
 	// models is set while the learned models contain a change that the next owner has to
 	// know.
 	models bool
+	// refusedJobs and refusedWorkers are those whose record the store has refused for what it
+	// contains, with the time from which on it is tried again unless a change comes first.
+	refusedJobs    map[job.ID]Instant
+	refusedWorkers map[platform.WorkerID]Instant
+}
+
+// refusalDelay is the delay before a record that the store has refused is tried again without
+// a change of its content.
+const refusalDelay = 10 * time.Second
+
+// retryRefused has the refused records tried again whose delay is over.
+func (s *Shard) retryRefused() {
+	for id, at := range s.journal.refusedJobs {
+		j, ok := s.jobs[id]
+		if ok && s.now < at {
+			continue
+		}
+		delete(s.journal.refusedJobs, id)
+		if ok {
+			s.journal.markDirty(j)
+		}
+	}
+	for id, at := range s.journal.refusedWorkers {
+		w, ok := s.workers[id]
+		if ok && s.now < at {
+			continue
+		}
+		delete(s.journal.refusedWorkers, id)
+		if ok && (w.enrolled || w.enrolling) {
+			s.journal.enroll(w)
+		}
+	}
 }
 
 func (l *journal) enroll(w *workerState) {
@@ -50,6 +84,9 @@
 type Change struct {
 	ID       job.ID
 	Progress job.Progress
+	// Parts are the parts of the progress that the log has, and once the change is recorded
+	// those that it has then.
+	Parts job.Parts
 	// job is the job, which the shard may have forgotten since.
 	job *jobState
 }
@@ -63,6 +100,9 @@
 	Unenrolled []platform.WorkerID
 	// Models is set if the learned models have to be recorded.
 	Models bool
+	// refusedJobs and refusedWorkers are those of which a record was refused.
+	refusedJobs    map[job.ID]bool
+	refusedWorkers map[platform.WorkerID]bool
 	// closed are the workers that were closed for these records.
 	closed []*workerState
 	// PastTerms are the terms of earlier owners if the ownership record has to be written again
@@ -79,16 +119,36 @@
 // models that the next owner must not be without.
 func (s *Shard) Urgent() bool { return s.journal.urgent }
 
+// Refuse notes that the store has refused a record of a job, or else of a worker, for what it
+// contains. What the record tells
+// does not count as recorded then, and is not tried again before it changes or refusalDelay is
+// over.
+func (u *Unrecorded) Refuse(id job.ID, worker platform.WorkerID) {
+	switch {
+	case id != "":
+		if u.refusedJobs == nil {
+			u.refusedJobs = map[job.ID]bool{}
+		}
+		u.refusedJobs[id] = true
+	case worker != "":
+		if u.refusedWorkers == nil {
+			u.refusedWorkers = map[platform.WorkerID]bool{}
+		}
+		u.refusedWorkers[worker] = true
+	}
+}
+
 // TakeUnrecorded returns the changes that have to be recorded and removes them from the
 // journal. nowMS is the time of day in Unix milliseconds.
 func (s *Shard) TakeUnrecorded(nowMS int64) Unrecorded {
+	s.retryRefused()
 	u := Unrecorded{Through: s.journal.lastChange, Models: s.journal.models, PastTerms: s.takePastTerms(s.now)}
 	for id, j := range s.journal.dirty {
 		if j.progress.State.Final() && j.progress.EndedMS == 0 {
 			j.progress.EndedMS = nowMS
 		}
 		j.progress.Revision++
-		u.Changes = append(u.Changes, Change{ID: id, Progress: cloneProgress(j.progress), job: j})
+		u.Changes = append(u.Changes, Change{ID: id, Progress: cloneProgress(j.progress), Parts: j.parts, job: j})
 	}
 	for _, w := range s.journal.enrolled {
 		e := job.Enrollment{
@@ -117,6 +177,11 @@
 func (s *Shard) MarkRecorded(u Unrecorded) {
 	s.journal.lastRecorded = max(s.journal.lastRecorded, u.Through)
 	for _, e := range u.Enrolled {
+		if u.refusedWorkers[e.Worker] {
+			s.journal.refusedWorkers[e.Worker] = s.now + refusalDelay
+			continue
+		}
+		delete(s.journal.refusedWorkers, e.Worker)
 		// A worker whose record is to be deleted needs another one first.
 		if w, ok := s.workers[e.Worker]; ok && !s.journal.unenrolled[e.Worker] {
 			s.dirty.add(w)
@@ -137,7 +202,13 @@
 		if !ok {
 			continue
 		}
-		j.recorded = c.Progress.State
+		if j.refused = u.refusedJobs[c.ID]; j.refused {
+			j.parts = j.parts.Unknown(c.Parts)
+			s.journal.refusedJobs[c.ID] = s.now + refusalDelay
+			continue
+		}
+		delete(s.journal.refusedJobs, c.ID)
+		j.parts, j.recorded = c.Parts, c.Progress.State
 		if j.endNote != nil && j.recorded.Final() {
 			s.notes.JobsEnded = append(s.notes.JobsEnded, *j.endNote)
 			j.endNote = nil
@@ -154,6 +225,7 @@
 		w.closed = !untouched
 	}
 	for _, c := range u.Changes {
+		c.job.parts = c.job.parts.Unknown(c.Parts)
 		s.journal.markDirty(c.job)
 	}
 	for _, e := range u.Enrolled {
--- a/internal/scheduler/owners_test.go
+++ b/internal/scheduler/owners_test.go
@@ -1033,8 +1033,11 @@
 		must.NoError(s.t, err)
 		records = append(records, r)
 	}
-	for _, c := range u.Changes {
-		add(job.ProgressRecord(c.ID, &c.Progress))
+	for i := range u.Changes {
+		c := &u.Changes[i]
+		list, parts, err := job.ProgressRecords(c.ID, &c.Progress, c.Parts)
+		must.NoError(s.t, err)
+		records, c.Parts = append(records, list...), parts
 	}
 	for _, e := range u.Enrolled {
 		s.tracef("claim %d records %s run %d closed %v %v", o.own.Claim, e.Worker, e.Run, e.Closed, e.MayRun)
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -98,7 +98,7 @@
 		s.applyEndToTask(now, t, e)
 		s.rescheduleTask(now, t)
 	}
-	w.ended.add(e.Number, s.journal.lastChange)
+	w.ended.add(e.Number, s.journal.lastChange).job = s.jobs[e.Task.Job]
 	s.journal.urgent = s.journal.urgent || s.journal.lastChange > s.journal.lastRecorded
 }
 
@@ -124,7 +124,7 @@
 			s.applyEndToTask(now, t, h.Ended)
 			s.rescheduleTask(now, t)
 		}
-		h.pending.change = s.journal.lastChange
+		h.pending.change, h.pending.job = s.journal.lastChange, j
 		s.journal.urgent = s.journal.urgent || s.journal.lastChange > s.journal.lastRecorded
 		return true
 	})
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -134,6 +134,7 @@
 		journal: journal{
 			dirty: map[job.ID]*jobState{}, enrolled: map[platform.WorkerID]*workerState{},
 			unenrolled: map[platform.WorkerID]bool{}, listed: map[platform.WorkerID]bool{},
+			refusedJobs: map[job.ID]Instant{}, refusedWorkers: map[platform.WorkerID]Instant{},
 		},
 	}
 }
--- a/internal/scheduler/shard_test.go
+++ b/internal/scheduler/shard_test.go
@@ -324,3 +324,46 @@
 	h.shard.MarkRecorded(u)
 	must.False(t, h.shard.Unacknowledged("w00"))
 }
+
+// TestRefusedCrashHoldsUpItsTaskOnly: a crash whose record the store refuses may not count as
+// recorded, or an owner after another starts the task anew; other jobs go on meanwhile.
+func TestRefusedCrashHoldsUpItsTaskOnly(t *testing.T) {
+	h := newHarness(t, 3)
+	h.run(time.Second)
+	lost := h.submit(firstID, fixedLength(30), nil, batchStep(1))
+	h.run(time.Second)
+	h.refused = lost
+	for _, w := range h.cluster.Entries() {
+		if h.cluster.StartsOn(w.ID) > 0 {
+			h.cluster.Crash(w.ID)
+			h.run(time.Second)
+			h.cluster.Boot(h.now, w.ID)
+		}
+	}
+	h.run(2 * time.Second)
+	other := h.submit(secondID, nil, nil, batchStep(4))
+	h.run(12 * time.Second)
+	must.Eq(t, job.Done, h.state(other))
+	must.Zero(t, h.cluster.Running(lost))
+	h.refused = ""
+	h.run(50 * time.Second)
+	must.Eq(t, job.Done, h.state(lost))
+	h.checkViolations()
+}
+
+// TestRefusedEndIsNotAcknowledged: the end of a task whose record the store refuses is listed to
+// the next owner too.
+func TestRefusedEndIsNotAcknowledged(t *testing.T) {
+	h := newHarness(t, 1)
+	h.run(time.Second)
+	id := h.submit(firstID, nil, nil, batchStep(2))
+	h.refused = id
+	h.run(5 * time.Second)
+	must.NotEq(t, job.Done, h.state(id))
+	h.takeOver(false)
+	h.refused = ""
+	h.run(5 * time.Second)
+	must.Eq(t, job.Done, h.state(id))
+	must.Eq(t, 2, h.cluster.Starts())
+	h.checkViolations()
+}
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -322,7 +322,7 @@
 	if p.now < t.retryAt {
 		return false
 	}
-	if t.crashChange > p.shard.journal.lastRecorded {
+	if t.crashChange > p.shard.journal.lastRecorded || t.crashChange > 0 && t.step.job.refused {
 		// A later owner would not know of the crash.
 		return false
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -328,13 +328,20 @@
 type pendingEnd struct {
 	endNumber uint64
 	change    uint64
+	// job is the job whose progress tells of the last of the ends, or nil.
+	job *jobState
+}
+
+// recordedBy reports whether the ends are in the log once the change with a number is.
+func (p *pendingEnd) recordedBy(change uint64) bool {
+	return p.change <= change && (p.job == nil || !p.job.refused)
 }
 
 // notRecordable is the change number of ends that must not be acknowledged.
 const notRecordable = math.MaxUint64
 
 func (l *endedLog) add(number, change uint64) *pendingEnd {
-	p := &pendingEnd{number, change}
+	p := &pendingEnd{endNumber: number, change: change}
 	l.applied = number
 	l.pending = append(l.pending, p)
 	return p
@@ -343,7 +350,7 @@
 // acknowledgeable returns the highest end number whose change was recorded.
 func (l *endedLog) acknowledgeable(recorded uint64) uint64 {
 	n := 0
-	for n < len(l.pending) && l.pending[n].change <= recorded {
+	for n < len(l.pending) && l.pending[n].recordedBy(recorded) {
 		l.recorded = l.pending[n].endNumber
 		n++
 	}
