What a progress record lists of one task is bounded

Cause: all failed attempts of a task are listed, and each silent worker that a task had settled on, for as long as it is silent. Change: 32 failures are listed and the earlier ones counted; 8 crashes are, and those left out are of workers that may only be silent, which do not count towards giving a task up. Parts hold 64 tasks.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -102,7 +102,7 @@
 	i := slices.IndexFunc(crashes, func(other job.Crash) bool { return other.Worker == c.Worker && other.Run == c.Run })
 	switch {
 	case i < 0:
-		crashes = append(crashes, c)
+		crashes = boundCrashes(append(crashes, c))
 	case crashes[i] == c || crashes[i].Over && !c.Over:
 		return
 	default:
@@ -118,6 +118,19 @@
 	}
 }
 
+// boundCrashes leaves out the oldest crashes that do not count towards giving up a task if there
+// are more than can be recorded: those of workers that may only be silent, under a settled task.
+func boundCrashes(crashes []job.Crash) []job.Crash {
+	for len(crashes) > job.MaxListedCrashes {
+		i := slices.IndexFunc(crashes, func(c job.Crash) bool { return c.Settled && !c.Over })
+		if i < 0 {
+			break
+		}
+		crashes = slices.Delete(crashes, i, i+1)
+	}
+	return crashes
+}
+
 // dismissCrash takes back the crash that was counted for an attempt whose start order was
 // under way when its worker's run was lost, and has turned out to have had no effect.
 func (s *Shard) dismissCrash(now Instant, action StartAction) {
--- a/internal/scheduler/crash_guard_test.go
+++ b/internal/scheduler/crash_guard_test.go
@@ -431,3 +431,53 @@
 	must.True(t, h.cluster.MayFail(id))
 	must.LessEq(t, maxCrashesPerTask+1, h.cluster.CrashesCaused())
 }
+
+// TestFailuresOfOneTaskStayRecordable: the failures under one task of a queue with many attempts
+// outgrew the record of its job. They are counted on, also by the next owner.
+func TestFailuresOfOneTaskStayRecordable(t *testing.T) {
+	const attempts = 3 * job.MaxListedFailures
+	h := newHarness(t, 4)
+	h.run(time.Second)
+	failures := 0
+	id := h.submitAs(firstID, func(s *job.Submission) { s.MaxFailures = attempts }, fixedLength(0.05),
+		func(job.TaskRef, platform.Attempt) bool { return true }, batchStep(1))
+	for range 600 {
+		h.run(500 * time.Millisecond)
+		p := h.log[id]
+		must.LessEq(t, job.MaxListedFailures, len(p.Failures[0]))
+		counted := len(p.Failures[0]) + p.EarlierFailures[0]
+		must.Between(t, failures, counted, attempts)
+		if failures < attempts/2 && counted >= attempts/2 {
+			h.takeOver(false)
+		}
+		failures = counted
+	}
+	must.Eq(t, job.Failed, h.state(id))
+	must.Eq(t, attempts, failures)
+	must.Eq(t, attempts, h.cluster.Starts())
+	h.checkViolations()
+}
+
+// TestSilentWorkersOfOneTaskStayRecordable: each worker that fell silent under a task was listed
+// in the record of its job for as long as it was silent.
+func TestSilentWorkersOfOneTaskStayRecordable(t *testing.T) {
+	const silent = 3 * job.MaxListedCrashes
+	h := newHarness(t, 4*silent)
+	h.run(time.Second)
+	id := h.submit(firstID, fixedLength(1000), nil, batchStep(1))
+	cut := map[platform.WorkerID]bool{}
+	for len(cut) < silent {
+		h.run(5 * time.Second)
+		for _, w := range h.cluster.Entries() {
+			if !cut[w.ID] && h.cluster.StartsOn(w.ID) > 0 {
+				cut[w.ID] = true
+				h.cluster.SetPartitioned(w.ID, true)
+			}
+		}
+		must.LessEq(t, job.MaxListedCrashes, len(h.log[id].Crashes[0]))
+		must.Less(t, time.Hour, h.now)
+	}
+	must.Len(t, job.MaxListedCrashes, h.log[id].Crashes[0])
+	must.Eq(t, job.Running, h.state(id))
+	h.checkViolations()
+}
--- a/internal/scheduler/job/parts.go
+++ b/internal/scheduler/job/parts.go
@@ -17,7 +17,7 @@
 // partTasks consecutive tasks each, and the record of the job itself the rest. Parts precede it
 // in the log, and only those that have changed are written.
 const (
-	partTasks = 256
+	partTasks = 64
 	// doneInRecord is the number of tasks up to which the job's own record says which are done,
 	// as versions that know no parts expect it.
 	doneInRecord = 1 << 20
@@ -136,6 +136,9 @@
 	for number, a := range p.Settled {
 		setFact(&parts.at(number/partTasks).Settled, number, a)
 	}
+	for number, n := range p.EarlierFailures {
+		setFact(&parts.at(number/partTasks).EarlierFailures, number, n)
+	}
 	const partBytes = partTasks / bitsPerByte
 	for from := doneInRecord / bitsPerByte; from < len(p.Done); from += partBytes {
 		if done := p.Done[from:min(len(p.Done), from+partBytes)]; done.Len() > 0 {
@@ -162,6 +165,7 @@
 	p := &w.Progress
 	p.Done = slices.Clone(p.Done)
 	p.Failures, p.Checkpoints, p.Crashes, p.Settled = maps.Clone(p.Failures), maps.Clone(p.Checkpoints), maps.Clone(p.Crashes), maps.Clone(p.Settled)
+	p.EarlierFailures = maps.Clone(p.EarlierFailures)
 	tasks := e.Submission.Spec.OccurrenceCount() * e.Submission.Spec.TasksPerOccurrence()
 	w.Parts = Parts{}
 	for i, part := range e.parts {
@@ -175,6 +179,7 @@
 		replaceFacts(&p.Checkpoints, part.Checkpoints, first)
 		replaceFacts(&p.Crashes, part.Crashes, first)
 		replaceFacts(&p.Settled, part.Settled, first)
+		replaceFacts(&p.EarlierFailures, part.EarlierFailures, first)
 		for n := range min(partTasks, tasks-first) {
 			if part.Done.Has(n) {
 				p.Done.Add(first + n)
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -86,10 +86,18 @@
 	// Settled names, for each long-running task, the last attempt that has run for so long
 	// that a crash of its worker says nothing about the task.
 	Settled map[int]platform.Attempt `cbor:"8,keyasint,omitempty"`
+	// EarlierFailures counts, for each task, the failed attempts that Failures no longer lists.
+	EarlierFailures map[int]int `cbor:"10,keyasint,omitempty"`
 	// Split is set if the record holds only the state and Done: the rest is in parts.
 	Split bool `cbor:"9,keyasint,omitempty"`
 }
 
+// MaxListedFailures and MaxListedCrashes bound what a Progress lists of one task.
+const (
+	MaxListedFailures = 32
+	MaxListedCrashes  = 8
+)
+
 // Crash is a run of a worker that was lost while an attempt of a task may have been
 // running there.
 type Crash struct {
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -179,7 +179,7 @@
 	c.Done = append(job.BitSet(nil), p.Done...)
 	c.Failures, c.Checkpoints, c.Crashes = map[int]job.Attempts{}, map[int]string{}, map[int][]job.Crash{}
 	maps.Copy(c.Crashes, p.Crashes)
-	c.Settled = maps.Clone(p.Settled)
+	c.Settled, c.EarlierFailures = maps.Clone(p.Settled), maps.Clone(p.EarlierFailures)
 	for n, f := range p.Failures {
 		c.Failures[n] = f
 	}
@@ -374,17 +374,32 @@
 	if t.step.spec.Gang {
 		t = t.step.tasks[0]
 	}
-	if t.done || j.ended() || t.step.spec.LongRunning || slices.Contains(t.failures, attempt) {
+	if t.done || j.ended() || t.step.spec.LongRunning || j.countsFailure(t, attempt) {
 		return
 	}
 	t.failures = append(slices.Clone(t.failures), attempt)
+	if len(t.failures) > job.MaxListedFailures {
+		earliest := slices.Min(t.failures)
+		t.failures = slices.DeleteFunc(t.failures, func(a platform.Attempt) bool { return a == earliest })
+		if j.progress.EarlierFailures == nil {
+			j.progress.EarlierFailures = map[int]int{}
+		}
+		j.progress.EarlierFailures[t.number]++
+	}
 	j.progress.Failures[t.number] = t.failures
 	s.journal.markDirty(j)
-	if j.sub.MaxFailures > 0 && len(t.failures) >= j.sub.MaxFailures {
+	if j.sub.MaxFailures > 0 && len(t.failures)+j.progress.EarlierFailures[t.number] >= j.sub.MaxFailures {
 		s.endJob(now, j, job.Failed)
 	}
 }
 
+// countsFailure reports whether a failed attempt of a task was counted before. One that is
+// earlier than all that are listed was, if any was left out: workers list ends in order, and
+// those of so long ago are acknowledged.
+func (j *jobState) countsFailure(t *task, attempt platform.Attempt) bool {
+	return slices.Contains(t.failures, attempt) || j.progress.EarlierFailures[t.number] > 0 && attempt < slices.Min(t.failures)
+}
+
 // markStarted records that a worker has started a task of a job. An order alone does not
 // count: it may be withdrawn or refused, and the job then still waits.
 func (s *Shard) markStarted(j *jobState) {
