The record of a silent worker names a bounded number of lost attempts

Cause: the record names all attempts on the worker. Change: at most 1,500, those first that had run for the shortest time, which are the likely causes.

--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -489,3 +489,21 @@
 	}
 	must.LessEq(t, maxRecorded, recorded)
 }
+
+// TestRecordOfSilentWorkerStaysWritable: the record of a worker that fell silent under thousands of
+// small tasks named all of them, and the store refused it.
+func TestRecordOfSilentWorkerStaysWritable(t *testing.T) {
+	h := newHarness(t, 1)
+	h.run(time.Second)
+	step := batchStep(1600)
+	step.Size = platform.Resources{MilliCPU: 2, MemoryMB: 2}
+	h.submit(firstID, fixedLength(60), nil, step)
+	h.run(2 * tickInterval)
+	h.cluster.SetPartitioned("w00", true)
+	h.run(time.Second)
+	e := h.enrolled["w00"]
+	must.Len(t, 1500, e.Lost)
+	r, err := job.EnrollmentRecord(e)
+	must.NoError(t, err)
+	must.LessEq(t, job.MaxRecordBytes, len(r.Value))
+}
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/siskinvane/siskinvane/internal/platform"
@@ -116,6 +118,10 @@
 	return false
 }
 
+// maxLostRecorded bounds the attempts that the record of a silent worker names. Those that had
+// run for the shortest time come first, since they are the likely causes if it has crashed.
+const maxLostRecorded = 1500
+
 // takeLost returns the attempts to be recorded as lost: those of a worker that does not
 // answer and was not to leave.
 func (w *workerState) takeLost() []job.LostAttempt {
@@ -130,6 +136,10 @@
 		}
 	}
 	w.lossRecorded = len(list) > 0
+	if len(list) > maxLostRecorded {
+		slices.SortStableFunc(list, func(a, b job.LostAttempt) int { return cmp.Compare(a.Ran, b.Ran) })
+		list = list[:maxLostRecorded]
+	}
 	return list
 }
 
