A job that is accepted fits into its record

Cause: Validate bounds the payload and the number of steps, but no name and no list of dependencies.

--- a/internal/scheduler/job/job.go
+++ b/internal/scheduler/job/job.go
@@ -87,6 +87,8 @@
 	maxOccurrences  = 100_000
 	// maxTasksPerOccurrence bounds the memory that one job takes: some 200 bytes a task.
 	maxTasksPerOccurrence = 50_000
+	// maxSpecBytes leaves room for the rest of a submission below MaxRecordBytes.
+	maxSpecBytes = MaxRecordBytes - 8<<10
 	// maxDueMS, maxIntervalMS and maxSize keep the due time of the last occurrence and the
 	// total size of all tasks within an int64. The first is some 35,000 years, the second 317.
 	maxDueMS      int64 = 1 << 50
@@ -121,6 +123,9 @@
 	if total := s.TasksPerOccurrence(); total > maxTasksPerOccurrence {
 		return fmt.Errorf("steps: %d tasks in all, at most %d are allowed", total, maxTasksPerOccurrence)
 	}
+	if size := s.recordBytes(); size > maxSpecBytes {
+		return fmt.Errorf("steps: up to %d bytes in all, at most %d are allowed", size, maxSpecBytes)
+	}
 	if max(s.FirstDueMS, -s.FirstDueMS) > maxDueMS || s.IntervalMS > maxIntervalMS {
 		return fmt.Errorf("schedule: due at %d ms, each %d ms, at most %d and %d are allowed", s.FirstDueMS, s.IntervalMS, maxDueMS, maxIntervalMS)
 	}
@@ -132,6 +137,20 @@
 	return nil
 }
 
+// recordBytes returns an upper bound of the specification's size in its record.
+func (s *Spec) recordBytes() int {
+	const (
+		stepBytes       = 150
+		dependencyBytes = 3
+	)
+	size := len(s.Payload)
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		size += stepBytes + dependencyBytes*len(step.DependsOn) + len(step.Label) + len(step.Image) + len(step.DataRack)
+	}
+	return size
+}
+
 // validateStructure returns an error for the first field that the scheduler cannot work
 // with, or nil. It holds for records of the log as well: one that fails it would end the
 // process of every owner that reads it.
--- a/internal/scheduler/job/record_test.go
+++ b/internal/scheduler/job/record_test.go
@@ -79,6 +79,42 @@
 	must.ErrorContains(t, spec.Validate(), "60000 tasks in all")
 }
 
+// TestSubmissionsThatAreAcceptedFitIntoRecord: a job with long names or many dependencies was
+// refused by the store, and its caller told to come back without end.
+func TestSubmissionsThatAreAcceptedFitIntoRecord(t *testing.T) {
+	for name, change := range map[string]func(*job.Step){
+		"images":       func(s *job.Step) { s.Image += "x" },
+		"labels":       func(s *job.Step) { s.Label += "x" },
+		"racks":        func(s *job.Step) { s.DataRack += "x" },
+		"dependencies": func(s *job.Step) { s.DependsOn = append(s.DependsOn, 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			const far = 1<<63 - 1
+			spec := job.Spec{Payload: strings.Repeat("p", 4000), Occurrences: 100_000, FirstDueMS: 1 << 50, IntervalMS: 10_000_000_000_000}
+			for range 256 {
+				spec.Steps = append(spec.Steps, job.Step{
+					Tasks: 100, Size: platform.Resources{MilliCPU: 1 << 40, MemoryMB: 1 << 40, Accelerators: 1 << 40}, EstimateMS: far,
+					Checkpointing: true, Gang: true, SameRack: true, MaxPerWorker: far, Speculative: true, LongRunning: true,
+					TargetMS: far, Fills: true, MayMiss: far,
+				})
+			}
+			must.NoError(t, spec.Validate())
+			largest := 0
+			for spec.Validate() == nil {
+				r, err := job.SubmissionRecord(jobID, &job.Submission{Queue: "q", Service: "s", Spec: spec})
+				must.NoError(t, err)
+				largest = len(r.Value)
+				for i := range spec.Steps[1:] {
+					for range 10 {
+						change(&spec.Steps[i+1])
+					}
+				}
+			}
+			must.Between(t, job.MaxRecordBytes/3, largest, job.MaxRecordBytes)
+		})
+	}
+}
+
 // FuzzApply: no record of the log causes a panic, and a submission that is applied has
 // steps that depend only on earlier ones.
 func FuzzApply(f *testing.F) {
