--- a/internal/scheduler/job/parts.go
+++ b/internal/scheduler/job/parts.go
@@ -17,6 +17,7 @@
 // partTasks consecutive tasks each, and the record of the job itself the rest. Parts precede it
 // in the log, and only those that have changed are written.
 const (
+	// partTasks is a multiple of bitsPerByte. As much as is listed of so many tasks fits into a part.
 	partTasks = 64
 	// doneInRecord is the number of tasks up to which the job's own record says which are done,
 	// as versions that know no parts expect it.
--- a/internal/scheduler/job/record_test.go
+++ b/internal/scheduler/job/record_test.go
@@ -205,6 +205,18 @@
 	}
 }
 
+// TestVersionsWithoutPartsKnowDoneTasks guards against an owner of a version that skips parts and
+// runs again what is done.
+func TestVersionsWithoutPartsKnowDoneTasks(t *testing.T) {
+	p := largeProgress(20_000)
+	records, _ := recordsOf(t, p, nil)
+	own := records[len(records)-1]
+	must.Eq(t, "p"+string(jobID), own.Key)
+	read := tableWith(t, 1, own).All()[0].Progress
+	must.Eq(t, p.Done, read.Done)
+	must.Eq(t, p.State, read.State)
+}
+
 // TestDoneTasksOfManyOccurrencesStayWritable: the set of done tasks of a schedule outgrew its
 // record.
 func TestDoneTasksOfManyOccurrencesStayWritable(t *testing.T) {
