Due times of a schedule no longer fill the owner's memory

Callers saw: a job that runs 20 tasks each minute, 100,000 times, first due 60 days ago, is answered with 200. Cause: the steps and tasks of all due occurrences were created at once and kept until the job ended; a new owner created those of the past again to see which were done. The progress record had a bit for each task of the past and kept the failures of tasks that are done. Schedules were admitted whatever of them was due. The set of done tasks takes space from the first task on that is not done, so the record says how far a schedule has come. Due work that cannot be held beside that of other schedules is refused with a reason and a time to come back.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -29,6 +29,7 @@
 	reasonRoom      = "no room for work without end"
 	reasonStarts    = "too few start orders can be sent"
 	reasonBacklog   = "too much accepted work is overdue"
+	reasonDueWork   = "due occurrences of schedules take too much memory"
 )
 
 const (
@@ -139,7 +140,7 @@
 // those before it.
 func (s *Shard) Admit(now Instant, sub *job.Submission) Admission {
 	if sub.Spec.Occurrences > 0 {
-		return Admission{Admitted: true}
+		return s.admitSchedule(sub)
 	}
 	if a := s.admitStarts(now); !a.Admitted {
 		return a
@@ -193,9 +194,9 @@
 			continue
 		}
 		tasks := 0
-		for _, steps := range j.occurrences {
+		for _, o := range j.occurrences {
 			waiting, later := 0, 0
-			for _, r := range steps {
+			for _, r := range o.steps {
 				switch {
 				case r.spec.Fills != fills || r.spec.LongRunning:
 				case r.blockedBy > 0:
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -206,10 +206,14 @@
 // findStep returns the step that a request is about, or nil.
 func (s *Shard) findStep(q fleet.AdviceRequest) *stepRun {
 	j, ok := s.jobs[q.Job]
-	if !ok || q.Occurrence >= len(j.occurrences) {
+	if !ok {
 		return nil
 	}
-	return j.occurrences[q.Occurrence][q.Step]
+	steps, held := j.findOccurrence(q.Occurrence)
+	if !held {
+		return nil
+	}
+	return steps[q.Step]
 }
 
 // discardTicket drops a ticket that a worker did not accept. If the step has none, its queue
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -122,8 +122,8 @@
 	if !s.startOrders.holdUp || j.ended() {
 		return
 	}
-	for _, steps := range j.occurrences {
-		s.startOrders.demand.addSteps(s, steps)
+	for _, o := range j.occurrences {
+		s.startOrders.demand.addSteps(s, o.steps)
 	}
 }
 
--- a/internal/scheduler/job/parts.go
+++ b/internal/scheduler/job/parts.go
@@ -17,10 +17,10 @@
 // partTasks consecutive tasks each, and the record of the job itself the rest. Parts precede it
 // in the log, and only those that have changed are written.
 const (
-	// partTasks is a multiple of bitsPerByte. As much as is listed of so many tasks fits into a part.
+	// partTasks is chosen so that as much as is listed of so many tasks fits into a part.
 	partTasks = 64
-	// doneInRecord is the number of tasks up to which the job's own record says which are done,
-	// as versions that know no parts expect it.
+	// doneInRecord is the number of tasks, from the first that may not be done on, of which the
+	// job's own record says which are done, as versions that know no parts expect it.
 	doneInRecord = 1 << 20
 	partMark     = "/"
 )
@@ -88,7 +88,7 @@
 	}
 	own, err := encodeRecord(key, &Progress{
 		State: p.State, Revision: p.Revision, EndedMS: p.EndedMS, Split: true,
-		Done: p.Done[:min(len(p.Done), doneInRecord/bitsPerByte)],
+		Done: BitSet{Below: p.Done.Below, Bits: p.Done.Bits[:min(len(p.Done.Bits), doneInRecord/bitsPerByte)]},
 	})
 	return append(records, own), sums, err
 }
@@ -140,10 +140,9 @@
 	for number, n := range p.EarlierFailures {
 		setFact(&parts.at(number/partTasks).EarlierFailures, number, n)
 	}
-	const partBytes = partTasks / bitsPerByte
-	for from := doneInRecord / bitsPerByte; from < len(p.Done); from += partBytes {
-		if done := p.Done[from:min(len(p.Done), from+partBytes)]; done.Len() > 0 {
-			parts.at(from / partBytes).Done = done
+	for number := p.Done.Below + doneInRecord; number < p.Done.Below+bitsPerByte*len(p.Done.Bits); number++ {
+		if p.Done.Has(number) {
+			parts.at(number / partTasks).Done.Add(number % partTasks)
 		}
 	}
 	return parts
@@ -164,7 +163,7 @@
 		return w
 	}
 	p := &w.Progress
-	p.Done = slices.Clone(p.Done)
+	p.Done = p.Done.Clone()
 	p.Failures, p.Checkpoints, p.Crashes, p.Settled = maps.Clone(p.Failures), maps.Clone(p.Checkpoints), maps.Clone(p.Crashes), maps.Clone(p.Settled)
 	p.EarlierFailures = maps.Clone(p.EarlierFailures)
 	tasks := e.Submission.Spec.OccurrenceCount() * e.Submission.Spec.TasksPerOccurrence()
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/bits"
 	"strconv"
 	"strings"
 	"time"
@@ -71,8 +70,8 @@
 	State State `cbor:"1,keyasint,omitempty"`
 	// Revision increases with each progress record of the job.
 	Revision uint64 `cbor:"6,keyasint,omitempty"`
-	// Done is the set of tasks that have succeeded.
-	Done BitSet `cbor:"2,keyasint,omitempty"`
+	// Done is the set of tasks that have succeeded. It is encoded as key 2, or 11 and 12.
+	Done BitSet `cbor:"-"`
 	// Failures lists the failed attempts of each task. It lists them rather than
 	// counting them, because workers report the end of an attempt repeatedly until
 	// it is acknowledged, also to a new owner.
@@ -174,33 +173,6 @@
 	SeenAt time.Duration `cbor:"-"`
 }
 
-// BitSet is a bit set of small non-negative numbers.
-type BitSet []byte
-
-const bitsPerByte = 8
-
-// Has reports whether n is in the set.
-func (s BitSet) Has(n int) bool {
-	return n/bitsPerByte < len(s) && s[n/bitsPerByte]&(1<<(n%bitsPerByte)) != 0
-}
-
-// Len returns the number of members.
-func (s BitSet) Len() int {
-	n := 0
-	for _, b := range s {
-		n += bits.OnesCount8(b)
-	}
-	return n
-}
-
-// Add adds n to the set.
-func (s *BitSet) Add(n int) {
-	for len(*s) <= n/bitsPerByte {
-		*s = append(*s, 0)
-	}
-	(*s)[n/bitsPerByte] |= 1 << (n % bitsPerByte)
-}
-
 // Record keys. The first three are prefixes of a job ID.
 const (
 	submissionKey    = "j"
--- a/internal/scheduler/job/record_test.go
+++ b/internal/scheduler/job/record_test.go
@@ -279,7 +279,7 @@
 		delete(p.Checkpoints, i)
 		delete(p.Settled, i)
 	}
-	p.Done = job.BitSet(bytes.Repeat([]byte{1}, 120_000))
+	p.Done = job.BitSet{Bits: bytes.Repeat([]byte{1}, 120_000)}
 	records, _ = recordsOf(t, p, next.Parts)
 	apply(t, table, 2*time.Second, records...)
 	must.Eq(t, p.Crashes, table.All()[0].Progress.Crashes)
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -25,8 +25,15 @@
 	refused bool
 	// endNote is reported once the job's end is in the log, and so visible to callers.
 	endNote *JobEndedNote
-	// occurrences are the occurrences created so far, each with its steps.
-	occurrences [][]*stepRun
+	// occurrences are those that are held, sorted by number; see occurrences.go.
+	occurrences []occurrence
+	// next is the lowest occurrence that was not looked at yet.
+	next int
+	// doneOccurrences counts the occurrences that are held although all their tasks are done.
+	doneOccurrences int
+	// firstObjectiveMS is the latency objective of occurrence 0, in Unix milliseconds, or zero
+	// if this owner has not held it.
+	firstObjectiveMS int64
 	// remaining counts the tasks of all occurrences that are not done.
 	remaining int
 	// acceptedMS is when the job was accepted, in Unix milliseconds. If this owner
@@ -142,7 +149,7 @@
 	if j.sub.Spec.Occurrences > 0 {
 		s.periodic[j.id] = j
 	} else {
-		s.addOccurrence(now, j)
+		s.addOccurrence(now, j, 0)
 		s.addStartDemand(j)
 	}
 	s.claimOrphans(now, j)
@@ -152,31 +159,9 @@
 	s.applyHeldEnds(now, j)
 }
 
-// addOccurrence creates the next occurrence of a job.
-func (s *Shard) addOccurrence(now Instant, j *jobState) {
-	steps := j.buildSteps(len(j.occurrences))
-	s.estimateObjective(steps)
-	for _, r := range steps {
-		s.enqueueStep(now, r)
-	}
-}
-
-// addDueOccurrences creates the occurrences that are due.
-func (s *Shard) addDueOccurrences(now Instant) {
-	for id, j := range s.periodic {
-		spec := &j.sub.Spec
-		for !j.ended() && len(j.occurrences) < spec.Occurrences && spec.DueMS(len(j.occurrences)) <= s.nowMS {
-			s.addOccurrence(now, j)
-		}
-		if j.ended() || len(j.occurrences) == spec.Occurrences {
-			delete(s.periodic, id)
-		}
-	}
-}
-
 func cloneProgress(p job.Progress) job.Progress {
 	c := p
-	c.Done = append(job.BitSet(nil), p.Done...)
+	c.Done = p.Done.Clone()
 	c.Failures, c.Checkpoints, c.Crashes = map[int]job.Attempts{}, map[int]string{}, map[int][]job.Crash{}
 	maps.Copy(c.Crashes, p.Crashes)
 	c.Settled, c.EarlierFailures = maps.Clone(p.Settled), maps.Clone(p.EarlierFailures)
@@ -208,7 +193,6 @@
 		r.beginMS = begin
 		r.kind = length.TaskKind(string(j.sub.Queue) + "/" + r.spec.Image)
 	}
-	j.occurrences = append(j.occurrences, steps)
 	return steps
 }
 
@@ -232,6 +216,9 @@
 		sub := r.job.sub
 		r.objectiveMS = r.beginMS + int64(sub.Stretch*float64(criticalPath.Milliseconds())) + sub.TargetMS
 	}
+	if first := steps[0]; first.occurrence == 0 {
+		first.job.firstObjectiveMS = first.objectiveMS
+	}
 }
 
 // addTasks creates the step's tasks, numbered from number on, and returns the next
@@ -312,17 +299,14 @@
 }
 
 // objectiveMS returns the latency objective of the job's first occurrence, counted from
-// the job's acceptance.
+// the job's acceptance, or zero if this owner does not know it.
 func (j *jobState) objectiveMS() int64 {
-	if len(j.occurrences) == 0 || len(j.occurrences[0]) == 0 {
+	if j.firstObjectiveMS == 0 {
 		return 0
 	}
-	return j.occurrences[0][0].objectiveMS - j.acceptedMS
+	return j.firstObjectiveMS - j.acceptedMS
 }
 
-// allSteps returns the steps of all occurrences created so far.
-func (j *jobState) allSteps() []*stepRun { return slices.Concat(j.occurrences...) }
-
 // stopAttempts stops all attempts of a task.
 func (s *Shard) stopAttempts(now Instant, t *task, reason string) {
 	for _, a := range t.liveAttempts {
@@ -356,7 +340,11 @@
 	r.remaining--
 	j.remaining--
 	if r.remaining == 0 {
-		s.estimateObjective(j.occurrences[r.occurrence])
+		steps, _ := j.findOccurrence(r.occurrence)
+		s.estimateObjective(steps)
+		if allDone(steps) {
+			j.doneOccurrences++
+		}
 		for _, dependent := range r.dependents {
 			dependent.blockedBy--
 			s.enqueueStep(now, dependent)
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -37,12 +37,16 @@
 	return slices.ContainsFunc(q.steps, func(r *stepRun) bool { return len(r.startable) > 0 })
 }
 
-// Waiting counts the tasks that wait for a worker, by priority.
+// Waiting counts the tasks that wait for a worker, by priority. Those of due occurrences that
+// are not held count too.
 func (s *Shard) Waiting() map[int]int {
 	tasks := map[int]int{}
 	for _, r := range s.waiting.steps {
 		tasks[r.job.sub.Priority] += len(r.startable)
 	}
+	for _, j := range s.periodic {
+		tasks[j.sub.Priority] += max(0, countDue(&j.sub.Spec, s.nowMS)-j.next) * j.sub.Spec.TasksPerOccurrence()
+	}
 	return tasks
 }
 
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -367,7 +367,7 @@
 const maxClockDifference = time.Minute
 
 // findTask returns the state of a task, or nil if the shard does not have it or its occurrence
-// is not due.
+// is over or not due.
 func (s *Shard) findTask(now Instant, ref job.TaskRef) *task {
 	j, ok := s.jobs[ref.Job]
 	if !ok {
@@ -377,11 +377,11 @@
 	if ref.Occurrence >= spec.OccurrenceCount() || ref.Step >= len(spec.Steps) || ref.Index >= spec.Steps[ref.Step].Tasks {
 		return nil
 	}
-	if s.nowMS != 0 && len(j.occurrences) <= ref.Occurrence && spec.DueMS(ref.Occurrence) > s.nowMS+maxClockDifference.Milliseconds() {
-		return nil
+	if steps, held := j.findOccurrence(ref.Occurrence); held {
+		return steps[ref.Step].tasks[ref.Index]
 	}
-	for len(j.occurrences) <= ref.Occurrence {
-		s.addOccurrence(now, j)
+	if s.nowMS != 0 && spec.DueMS(ref.Occurrence) > s.nowMS+maxClockDifference.Milliseconds() || !j.mayHold(ref.Occurrence) {
+		return nil
 	}
-	return j.occurrences[ref.Occurrence][ref.Step].tasks[ref.Index]
+	return s.addOccurrence(now, j, ref.Occurrence)[ref.Step].tasks[ref.Index]
 }
