Missed occurrences of a schedule no longer keep other jobs out

Callers saw: while a schedule of one caller catches up and start orders are scarce, jobs of others are refused with "too few start orders can be sent", for as long as that takes. Cause: admission counted the tasks of all missed occurrences as start orders that others wait for, and up to 50 of them as overdue work of each job. Evidence: TestDueTimesDelayOtherJobs, 30 schedules of 1,000 due times of 20 tasks, some 200 starts a second. Change: several missed occurrences of a job count as one start order, and as one occurrence among overdue work. A job with one occurrence counts as before. Figures: all 20 jobs of the test are admitted and done within 1 s each.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -186,7 +186,7 @@
 
 // countBacklog counts the fillers, or the other tasks, that wait although their occurrence has
 // missed its objective, and those of its later steps. Jobs that come after the given priority
-// do not count.
+// do not count, and of each job only the first such occurrence does.
 func (s *Shard) countBacklog(fills bool, priority int) int {
 	all := 0
 	for _, j := range s.jobs {
@@ -206,7 +206,8 @@
 				}
 			}
 			if waiting > 0 {
-				tasks += waiting + later
+				tasks = waiting + later
+				break
 			}
 		}
 		all += min(tasks, maxBacklogOfJob)
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -117,14 +117,21 @@
 	}
 }
 
-// addStartDemand counts the start orders that a job needs.
+// addStartDemand counts the start orders that a job needs. Several occurrences that have missed
+// their objective need one: they yield to jobs that can meet theirs while a task of the job runs.
 func (s *Shard) addStartDemand(j *jobState) {
 	if !s.startOrders.holdUp || j.ended() {
 		return
 	}
+	missed := 0
 	for _, o := range j.occurrences {
+		if t := timelinessOf(o.steps[0], s.nowMS); len(j.occurrences) > 1 && (t == late || t == overdue) {
+			missed = 1
+			continue
+		}
 		s.startOrders.demand.addSteps(s, o.steps)
 	}
+	s.startOrders.demand.add(0, missed)
 }
 
 // startDelay returns how long start orders are expected to hold up tasks, or zero if they
--- a/internal/scheduler/schedule_test.go
+++ b/internal/scheduler/schedule_test.go
@@ -95,6 +95,27 @@
 	h.checkViolations()
 }
 
+// TestDueTimesDelayOtherJobs: the due occurrences of one caller's schedules kept other jobs out
+// while start orders were scarce.
+func TestDueTimesDelayOtherJobs(t *testing.T) {
+	h := newHarness(t, 8)
+	h.maxStarts = 1
+	h.run(4 * time.Second)
+	for i := range 30 {
+		h.submitAs(fmt.Sprintf("%016x", 1000+i), h.everyMinute(1000*time.Minute), fixedLength(0.5), nil, shortStep(dueTasks))
+	}
+	h.run(8 * time.Second)
+	for i := range 20 {
+		id := fmt.Sprintf("%016x", 100+i)
+		sub := &job.Submission{Queue: queueName, Service: service, MaxFailures: 3, Stretch: 2, TargetMS: 1000, Spec: job.Spec{Steps: []job.Step{shortStep(1)}}}
+		must.True(t, h.shard.Admit(h.now, sub).Admitted, must.Sprint(i, h.shard.Admit(h.now, sub)))
+		h.submit(id, fixedLength(0.5), nil, shortStep(1))
+		h.run(time.Second)
+		must.Eq(t, job.Done, h.state(job.ID(id)), must.Sprint(i))
+	}
+	h.checkViolations()
+}
+
 // TestScheduleBeyondLimitsEnds: occurrences that are due but not held must run once each, and
 // what the progress says of failures must not grow with the past.
 func TestScheduleBeyondLimitsEnds(t *testing.T) {
