--- a/internal/scheduler/journal.go
+++ b/internal/scheduler/journal.go
@@ -120,9 +120,8 @@
 func (s *Shard) Urgent() bool { return s.journal.urgent }
 
 // Refuse notes that the store has refused a record of a job, or else of a worker, for what it
-// contains. What the record tells
-// does not count as recorded then, and is not tried again before it changes or refusalDelay is
-// over.
+// contains. What the record tells does not count as recorded then, and is not tried again before
+// it changes or refusalDelay is over.
 func (u *Unrecorded) Refuse(id job.ID, worker platform.WorkerID) {
 	switch {
 	case id != "":
--- a/internal/scheduler/occurrences.go
+++ b/internal/scheduler/occurrences.go
@@ -167,6 +167,7 @@
 		for _, r := range o.steps {
 			for _, t := range r.tasks {
 				delete(j.progress.Failures, t.number)
+				delete(j.progress.EarlierFailures, t.number)
 				delete(j.progress.Settled, t.number)
 			}
 		}
