A run that follows a recorded one counts as one that stray orders may have reached, whatever its clock shows

Callers saw: nothing; found while reading. Orders may be sent to the run before for as long as a restart is not noticed, so the age of the new run bounds less than took it to. Where the log names another run the longest lease is waited for; where it names none, the time until a restart is noticed is added.

--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -250,14 +250,18 @@
 }
 
 // setFirstRun sets the run in which a worker first answers this owner, at the time clock on its
-// clock. The run refuses orders of earlier owners from then on. If the log does not name it, an
-// earlier owner may have called the run before, unless that ended too long ago.
+// clock. The run refuses orders of earlier owners from then on. If the log names no run, an
+// earlier owner that had deleted the record may have called the run before, unless that ended too
+// long ago.
 func (s *Shard) setFirstRun(now Instant, w *workerState, run int64, clock platform.WorkerTime) {
 	w.setRun(now, run)
 	longest := now + slowestClock(s.bounds.MaxLease)
+	const unnoticed = maxRenewWait + renewAnswerTime
 	switch {
-	case run != w.recordedRun && len(s.takeover.predecessors) > 0:
-		w.strayLeasesEndAt = min(longest, now+max(0, s.maxStrayLease()-time.Duration(clock)))
+	case w.recordedRun == 0 && len(s.takeover.predecessors) > 0:
+		w.strayLeasesEndAt = min(longest, now+max(0, unnoticed+s.maxStrayLease()-time.Duration(clock)))
+	case run != w.recordedRun && w.recordedRun != 0:
+		w.strayLeasesEndAt = longest
 	case w.strayLeasesEndAt != 0:
 		w.strayLeasesEndAt = min(w.strayLeasesEndAt, longest)
 	}
