--- a/internal/scheduler/stray_test.go
+++ b/internal/scheduler/stray_test.go
@@ -168,9 +168,7 @@
 		},
 		"killed": func(h *strayHarness, id platform.WorkerID) {
 			h.cluster.SetPartitioned(id, true)
-			before := h.claim
-			h.takeOver(false)
-			h.shard.PredecessorEnded(h.now, before)
+			h.replaceKilledOwner()
 		},
 		"cut off": func(h *strayHarness, id platform.WorkerID) {
 			h.cluster.SetPartitioned(id, true)
@@ -190,18 +188,14 @@
 		"two in a row": func(h *strayHarness, id platform.WorkerID) {
 			h.cluster.SetPartitioned(id, true)
 			for range 2 {
-				before := h.claim
-				h.takeOver(false)
-				h.shard.PredecessorEnded(h.now, before)
+				h.replaceKilledOwner()
 				h.run(time.Second)
 			}
 		},
 		"after it closed the worker": func(h *strayHarness, id platform.WorkerID) {
 			h.cluster.SetPartitioned(id, true)
 			h.run(500 * time.Millisecond)
-			before := h.claim
-			h.takeOver(false)
-			h.shard.PredecessorEnded(h.now, before)
+			h.replaceKilledOwner()
 		},
 	}
 	for restart, begin := range restarts {
@@ -237,22 +231,37 @@
 	w := h.startTask()
 	h.run(30 * time.Second)
 	h.cluster.SetPartitioned(w, true)
-	before := h.claim
 	h.restartedHosts = true
 	h.readAllAgain()
-	h.takeOver(false)
-	h.shard.PredecessorEnded(h.now, before)
+	h.replaceKilledOwner()
 	must.Between(t, 5*time.Second, h.runUntilStart(20*time.Second), 6*time.Second)
 	h.checkViolations()
 }
 
-// partitionAll cuts off all workers or ends that.
-func (h *strayHarness) partitionAll(on bool) {
-	for _, id := range h.workerIDs() {
+// setPartitioned cuts workers off or ends that.
+func (h *strayHarness) setPartitioned(on bool, ids ...platform.WorkerID) {
+	for _, id := range ids {
 		h.cluster.SetPartitioned(id, on)
 	}
 }
 
+// replaceKilledOwner replaces an owner that is known to have ended.
+func (h *strayHarness) replaceKilledOwner() {
+	before := h.claim
+	h.takeOver(false)
+	h.shard.PredecessorEnded(h.now, before)
+}
+
+// startTaskLate starts a task that takes long once a worker can be used, and returns its worker.
+func (h *strayHarness) startTaskLate() platform.WorkerID {
+	id := h.submit(firstID, fixedLength(100), nil, batchStep(1))
+	for i := 0; i < 100 && h.cluster.Running(id) == 0; i++ {
+		h.tick()
+	}
+	must.Eq(h.t, 1, h.cluster.Running(id))
+	return h.workersOf(job.TaskRef{Job: id})[0]
+}
+
 // restartOne crashes and boots one worker within 600 ms.
 func (h *strayHarness) restartOne(id platform.WorkerID) {
 	h.cluster.Crash(id)
@@ -277,30 +286,18 @@
 	h.noticeRestarts()
 	h.run(200 * time.Millisecond)
 	// 4 of 6 silent for 1.5 s.
-	for _, id := range h.workerIDs()[:4] {
-		h.cluster.SetPartitioned(id, true)
-	}
+	h.setPartitioned(true, h.workerIDs()[:4]...)
 	h.run(1500 * time.Millisecond)
 	before := h.claim
-	for _, id := range h.workerIDs()[4:] {
-		h.cluster.SetPartitioned(id, true)
-	}
-	for _, id := range h.workerIDs()[:4] {
-		h.cluster.SetPartitioned(id, false)
-	}
+	h.setPartitioned(true, h.workerIDs()[4:]...)
+	h.setPartitioned(false, h.workerIDs()[:4]...)
 	h.takeOver(false)
 	h.shard.PredecessorEnded(h.now, before)
 	h.run(1600 * time.Millisecond)
-	id := h.submit(firstID, fixedLength(100), nil, batchStep(1))
-	for i := 0; i < 100 && h.cluster.Running(id) == 0; i++ {
-		h.tick()
-	}
-	must.Eq(t, 1, h.cluster.Running(id))
+	h.startTaskLate()
 	starts := h.cluster.Starts()
-	h.partitionAll(true)
-	for _, x := range h.workerIDs()[4:] {
-		h.cluster.SetPartitioned(x, false)
-	}
+	h.setPartitioned(true, h.workerIDs()...)
+	h.setPartitioned(false, h.workerIDs()[4:]...)
 	h.finish(starts)
 }
 
@@ -349,22 +346,14 @@
 		lists, _ := h.cluster.Renew(h.now, id, h.strays[id])
 		must.Eq(t, fleet.Accepted, lists.Verdict)
 	}
-	for _, id := range h.workerIDs()[4:] {
-		h.cluster.SetPartitioned(id, true)
-	}
+	h.setPartitioned(true, h.workerIDs()[4:]...)
 	h.takeOver(false)
 	h.shard.PredecessorEnded(h.now, before)
 	h.run(1600 * time.Millisecond)
-	id := h.submit(firstID, fixedLength(100), nil, batchStep(1))
-	for i := 0; i < 100 && h.cluster.Running(id) == 0; i++ {
-		h.tick()
-	}
-	w := h.workersOf(job.TaskRef{Job: id})[0]
+	w := h.startTaskLate()
 	starts := h.cluster.Starts()
 	h.cluster.SetPartitioned(w, true)
-	for _, x := range h.workerIDs()[4:] {
-		h.cluster.SetPartitioned(x, false)
-	}
+	h.setPartitioned(false, h.workerIDs()[4:]...)
 	h.finish(starts)
 }
 
@@ -388,9 +377,7 @@
 	w := h.workersOf(job.TaskRef{Job: id})[0]
 	h.cluster.SetPartitioned(w, true)
 	h.unregistered[w] = true
-	before := h.claim
-	h.takeOver(false)
-	h.shard.PredecessorEnded(h.now, before)
+	h.replaceKilledOwner()
 	h.finish(starts)
 }
 
@@ -404,23 +391,19 @@
 func orderOfPredecessorAfterEntry(t *testing.T, replace bool) {
 	h := newStrayHarness(t)
 	h.sendStrays() // by the owner before
-	before := h.claim
-	h.takeOver(false)
-	h.shard.PredecessorEnded(h.now, before)
+	h.replaceKilledOwner()
 	h.run(2 * time.Second)
 	h.restartAll()
-	h.partitionAll(true)
+	h.setPartitioned(true, h.workerIDs()...)
 	h.syncWorkers()
 	h.run(3 * time.Second)
-	h.partitionAll(false)
+	h.setPartitioned(false, h.workerIDs()...)
 	h.deliverStrays()
 	w := h.startTask()
 	starts := h.cluster.Starts()
 	h.cluster.SetPartitioned(w, true)
 	if replace {
-		before := h.claim
-		h.takeOver(false)
-		h.shard.PredecessorEnded(h.now, before)
+		h.replaceKilledOwner()
 	}
 	h.finish(starts)
 }
