--- a/internal/scheduler/owners_test.go
+++ b/internal/scheduler/owners_test.go
@@ -1467,7 +1467,11 @@
 			}
 			s.heal()
 			s.ensureOwner()
-			s.run(time.Minute)
+			for end := s.now + recoveryTime; s.now < end && len(s.unsettled()) > 0; {
+				s.ensureOwner()
+				s.run(time.Second)
+			}
+			must.SliceEmpty(t, s.unsettled(), must.Sprint("jobs that neither are done nor last and run"))
 		})
 	}
 }
