Calls to the shard's owner name their ownership and expiry; a late one is logged

A proposal now carries a term: the owner's epoch and its own times on the owner's clock, which a host learns by Service.Term and from each answer. The owner logs one that is late (7218: epoch meant, epoch now, age) and carries it out as before.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -111,6 +111,10 @@
 
 	// oldOwner is the epoch of the latest owner seen that lacks Service.ProposeJob.
 	oldOwner atomic.Uint64
+	// ownerClock is the clock of the shard's owner, for the terms of calls. termlessOwner is the
+	// epoch of the latest owner seen that lacks Service.Term.
+	ownerClock    ownerClock
+	termlessOwner atomic.Uint64
 
 	// applying is held while a page is applied to the table and its changes are passed to
 	// the dispatcher: the table reports a change only once, and the dispatcher must hear
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -68,6 +68,7 @@
 		}
 	}
 	*v, err = s.node.decideProposal(s.node.ctx, p)
+	v.Now = s.node.Clock()
 	return err
 }
 
@@ -75,6 +76,7 @@
 // submission record.
 type JobProposal struct {
 	Record store.Record
+	Term   Term
 }
 
 // ProposeJob is like Propose for a submission, which it takes from the record. Hosts of
@@ -84,7 +86,8 @@
 	if err != nil {
 		return err
 	}
-	*v, err = s.node.decideProposal(s.node.ctx, Proposal{ID: id, Submission: submission, Record: p.Record})
+	*v, err = s.node.decideProposal(s.node.ctx, Proposal{ID: id, Submission: submission, Record: p.Record, Term: p.Term})
+	v.Now = s.node.Clock()
 	return err
 }
 
--- a/internal/process/node/write.go
+++ b/internal/process/node/write.go
@@ -48,6 +48,7 @@
 	ID         job.ID
 	Submission *job.Submission
 	Record     store.Record
+	Term       Term
 }
 
 // Verdict is the owner's answer to a Proposal.
@@ -56,9 +57,11 @@
 	Written bool
 	// Refused is set if the owner does not admit the job.
 	Refused *scheduler.Admission
-	// Unknown is set if the record may be in the log. If no field is set it is
-	// certainly not.
+	// Unknown is set if the record may be in the log. If neither it nor another of the fields
+	// above is set it is certainly not.
 	Unknown bool
+	// Now is the time on the owner's clock, or 0 from an owner of an older version.
+	Now time.Duration
 }
 
 // write puts a record into the log: through the shard's owner, whose appends hold many
@@ -115,8 +118,9 @@
 	if n.ownedDispatcher() != nil {
 		return n.decideProposal(ctx, p)
 	}
-	addr, ok := n.owner()
-	if !ok {
+	owner := n.table.Owner()
+	addr, err := netip.ParseAddrPort(owner.Addr)
+	if err != nil {
 		return Verdict{}, errNotOwner
 	}
 	replies := make(chan ownerReply, 1)
@@ -124,7 +128,7 @@
 		var v Verdict
 		// The timeout does not depend on the caller's deadline: a call that times out
 		// on a silent connection closes it, and other calls share it.
-		if err := n.callPropose(addr, p, &v); err != nil {
+		if err := n.callPropose(owner, addr, p, &v); err != nil {
 			// v is left out, since a late answer may still be written to it.
 			replies <- ownerReply{err: err}
 			return
@@ -139,21 +143,33 @@
 	}
 }
 
-// callPropose makes the call of propose. A submission travels in the record alone, unless
-// the owner is of a version that needs it decoded as well.
-func (n *Node) callPropose(addr netip.AddrPort, p Proposal, v *Verdict) error {
-	epoch := uint64(n.table.Owner().Epoch)
-	timeout := ownerTimeout
-	if p.Submission != nil && n.oldOwner.Load() != epoch {
-		started := n.Clock()
-		err := n.peers.CallTimeout(timeout, addr, peerService, "ProposeJob", JobProposal{Record: p.Record}, v)
+// callPropose makes the call of propose to the owner at addr. A submission travels in the record
+// alone, unless the owner is of a version that needs it decoded as well.
+func (n *Node) callPropose(owner job.Ownership, addr netip.AddrPort, p Proposal, v *Verdict) error {
+	started := n.Clock()
+	remaining := func() time.Duration { return ownerTimeout - (n.Clock() - started) }
+	var err error
+	if p.Term, err = n.termFor(owner, addr, ownerTimeout); err != nil {
+		return err
+	}
+	if p.Submission != nil && n.oldOwner.Load() != uint64(owner.Epoch) {
+		err = n.peers.CallTimeout(remaining(), addr, peerService, "ProposeJob", JobProposal{Record: p.Record, Term: p.Term}, v)
 		if !unknownMethod(err) {
+			n.noteOwnerTime(owner.Epoch, v)
 			return err
 		}
-		n.oldOwner.Store(epoch)
-		timeout -= n.Clock() - started
+		n.oldOwner.Store(uint64(owner.Epoch))
+	}
+	err = n.peers.CallTimeout(remaining(), addr, peerService, "Propose", p, v)
+	n.noteOwnerTime(owner.Epoch, v)
+	return err
+}
+
+// noteOwnerTime takes in the owner's time from its answer, if v is one.
+func (n *Node) noteOwnerTime(epoch platform.Epoch, v *Verdict) {
+	if v.Now != 0 {
+		n.ownerClock.note(n.Clock(), epoch, v.Now)
 	}
-	return n.peers.CallTimeout(timeout, addr, peerService, "Propose", p, v)
 }
 
 // ownerReply is the outcome of a call to the owner.
@@ -164,6 +180,9 @@
 
 // decideProposal decides on a Proposal as the shard's owner and writes its record.
 func (n *Node) decideProposal(ctx context.Context, p Proposal) (Verdict, error) {
+	if p.Term.late(n.Clock(), n.ownedEpochNow()) {
+		n.reportLate("propose", p.Term, logrus.Fields{"job": p.ID})
+	}
 	d := n.ownedDispatcher()
 	if d == nil || n.Outage() > ownerJoinMaxAge {
 		return Verdict{}, errNotOwner
