A proposal that a cut held up is not admitted by a later decision than its own

Cause: a host asks owner A, gets no answer, asks the next owner B and passes its refusal on. The call to A is still under way. Once A owns the shard again the call arrives, and a proposal named neither the ownership that it was meant for nor how long it holds, so A admitted it. Within one ownership the same: a second host gets a refusal while the call of the first one is held up.

Change: the owner carries a call out only under the epoch of its term and up to its expiry. The expiry is on the owner's clock and never after the caller gives up, since a host's estimate of that clock lags by the way of the answer and by drift. Decisions are made one at a time, and a job that was refused after a call was sent is not admitted by that call. So B's refusal is final when it is passed on: A's call is void by its epoch, and what A wrote is in the log before B decides. A call to an owner without Service.Term may still come late: a refusal after it is not passed on, the job is stored. A call of a host that names no epoch is not carried out by a process that has given the shard up before; that host appends the record itself.

--- a/internal/process/node/isolation_test.go
+++ b/internal/process/node/isolation_test.go
@@ -22,10 +22,10 @@
 	count   int
 	// reachable is the number of workers that answer.
 	reachable atomic.Int32
-	// memoryMB is the capacity of each worker. The entries cannot be read while unreadable
-	// is set.
-	memoryMB   atomic.Int64
-	unreadable atomic.Bool
+	// memoryMB and milliCPU are the capacity of each worker. The entries cannot be read while
+	// unreadable is set.
+	memoryMB, milliCPU atomic.Int64
+	unreadable         atomic.Bool
 }
 
 func newTestWorkers(count int) *testWorkers {
@@ -49,7 +49,7 @@
 		c.Set = append(c.Set, fleet.Worker{
 			ID: platform.WorkerID(fmt.Sprintf("w%d", i)), Service: "s", Started: 1,
 			Addr:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, byte(i + 1)}), 80),
-			Capacity: platform.Resources{MemoryMB: w.memoryMB.Load()},
+			Capacity: platform.Resources{MemoryMB: w.memoryMB.Load(), MilliCPU: w.milliCPU.Load()},
 		})
 	}
 	return c, nil
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -108,6 +108,12 @@
 	leaving atomic.Bool
 	direct  directWriter
 	open    *openWrites
+	// deciding is held while the owner decides on a proposal, until its write is open. It guards
+	// refusals and is acquired before applying.
+	deciding sync.Mutex
+	refusals refusals
+	// hasReleased is set once the host has given up the shard.
+	hasReleased atomic.Bool
 
 	// oldOwner is the epoch of the latest owner seen that lacks Service.ProposeJob.
 	oldOwner atomic.Uint64
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -318,6 +318,7 @@
 	if d == nil {
 		return
 	}
+	n.hasReleased.Store(true)
 	stop()
 	d.Stop()
 	n.count("shard.released")
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/siskinvane/siskinvane/internal/platform/store"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
@@ -61,15 +62,13 @@
 // Propose decides on a proposal as the shard's owner and writes its record. A submission
 // is read from the record, which is checked.
 func (s *Service) Propose(p Proposal, v *Verdict) error {
-	var err error
 	if p.Submission != nil {
+		var err error
 		if p.ID, p.Submission, err = job.DecodeSubmission(p.Record); err != nil {
 			return err
 		}
 	}
-	*v, err = s.node.decideProposal(s.node.ctx, p)
-	v.Now = s.node.Clock()
-	return err
+	return s.node.answerProposal(p, v)
 }
 
 // JobProposal asks the shard's owner to decide on the admission of a job and to write its
@@ -86,8 +85,18 @@
 	if err != nil {
 		return err
 	}
-	*v, err = s.node.decideProposal(s.node.ctx, Proposal{ID: id, Submission: submission, Record: p.Record, Term: p.Term})
-	v.Now = s.node.Clock()
+	return s.node.answerProposal(Proposal{ID: id, Submission: submission, Record: p.Record, Term: p.Term}, v)
+}
+
+// answerProposal answers the proposal of another host. One that names no ownership may have been
+// meant for an earlier one, unless the host has had none.
+func (n *Node) answerProposal(p Proposal, v *Verdict) (err error) {
+	if p.Term.Epoch == 0 && n.hasReleased.Load() {
+		n.reportLate("propose", p.Term, logrus.Fields{"job": p.ID})
+		return errNotOwner
+	}
+	*v, err = n.decideProposal(n.ctx, p)
+	v.Now = n.Clock()
 	return err
 }
 
--- a/internal/process/node/propose_test.go
+++ b/internal/process/node/propose_test.go
@@ -53,6 +53,18 @@
 	return s.service.Propose(p, v)
 }
 
+// replaceByOldService makes a host answer others like one that lacks ProposeJob and Term.
+func (c *testCluster) replaceByOldService(t *testing.T, n *Node) *oldService {
+	t.Helper()
+	n.server.Close()
+	old := &oldService{service: &Service{node: n}}
+	var err error
+	n.server, err = peer.ListenOn(c.network.Host(n.Peer.Addr()), n.Peer, peerService, old)
+	must.NoError(t, err)
+	n.server.Start()
+	return old
+}
+
 const otherJobID job.ID = "00000000000000ab"
 
 // TestProposalCarriesPayloadOnce guards against a payload that fills the owner's link
@@ -79,12 +91,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newTestCluster()
 		first, second := c.startPair(t)
-		first.server.Close()
-		old := &oldService{service: &Service{node: first}}
-		var err error
-		first.server, err = peer.ListenOn(c.network.Host(first.Peer.Addr()), first.Peer, peerService, old)
-		must.NoError(t, err)
-		first.server.Start()
+		old := c.replaceByOldService(t, first)
 		second.peers = peer.NewClientOn(c.network.Host(second.Peer.Addr()))
 		for _, id := range []job.ID{jobID, otherJobID} {
 			must.NoError(t, second.Submit(context.Background(), id, submission()))
--- a/internal/process/node/term.go
+++ b/internal/process/node/term.go
@@ -23,8 +23,13 @@
 	Sent, Expiry time.Duration
 }
 
-// clockDrift bounds by how much the clocks of two hosts drift apart, as a share of the time.
-const clockDrift = 0.02
+const (
+	// clockDrift bounds by how much the clocks of two hosts drift apart, as a share of the time.
+	clockDrift = 0.02
+	// maxClockAge is how long an estimate of the owner's clock is used: the drift by then is an
+	// eighth of ownerTimeout.
+	maxClockAge = 10 * time.Second
+)
 
 // ownerClock estimates the clock of the shard's owner. The estimate is never ahead of that clock, so
 // that a call has expired when its caller gives it up. It is safe for concurrent use.
@@ -39,7 +44,7 @@
 func (c *ownerClock) note(now time.Duration, epoch platform.Epoch, answered time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if lead := answered - now; epoch > c.epoch || epoch == c.epoch && lead > c.leadAt(now) {
+	if lead := answered - now; epoch > c.epoch || epoch == c.epoch && (lead > c.leadAt(now) || now-c.at > maxClockAge) {
 		c.epoch, c.lead, c.at = epoch, lead, now
 	}
 }
@@ -50,11 +55,11 @@
 }
 
 // term returns the term of a call that is made now to the owner of an epoch and that its caller
-// gives up after timeout. It reports false if the owner has not answered yet.
+// gives up after timeout. It reports false if the owner has not answered lately.
 func (c *ownerClock) term(now time.Duration, epoch platform.Epoch, timeout time.Duration) (Term, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.epoch != epoch {
+	if c.epoch != epoch || now-c.at > maxClockAge {
 		return Term{}, false
 	}
 	sent := now + c.leadAt(now)
@@ -84,7 +89,7 @@
 }
 
 // termFor returns the term of a call to an owner that is given up after timeout. It asks the owner
-// for the time if it has not answered this host yet, which takes up part of the timeout. An owner
+// for the time if it has not answered this host lately, which takes up part of the timeout. An owner
 // of an earlier version gets the zero Term.
 func (n *Node) termFor(owner job.Ownership, addr netip.AddrPort, timeout time.Duration) (Term, error) {
 	started := n.Clock()
--- a/internal/process/node/write.go
+++ b/internal/process/node/write.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/store"
+	"github.com/siskinvane/siskinvane/internal/process/dispatch"
 	"github.com/siskinvane/siskinvane/internal/scheduler"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
@@ -71,19 +72,21 @@
 // be.
 func (n *Node) write(ctx context.Context, p Proposal) error {
 	repeated := n.open.mayBeStored(n.Clock(), p.ID)
-	owner := n.table.Owner().Epoch
-	v, err := n.propose(ctx, p)
+	owner := n.table.Owner()
+	v, err := n.propose(ctx, owner, p)
 	unknown := errors.Is(err, platform.ErrOutcomeUnknown)
-	if err != nil && n.ownerReplaced(ctx, owner) {
+	// A call without a term may still be carried out, if its owner regains the shard.
+	unbounded := unknown && n.termlessOwner.Load() == uint64(owner.Epoch)
+	if err != nil && n.ownerReplaced(ctx, owner.Epoch) {
 		// The log takes nothing more from the earlier owner, and the new one has read what it
 		// wrote.
-		v, err = n.propose(ctx, p)
+		v, err = n.propose(ctx, n.table.Owner(), p)
 	}
 	switch {
 	case err == nil && v.Written:
 		n.applyRecords([]store.Record{p.Record})
 		return nil
-	case err == nil && v.Refused != nil && !repeated:
+	case err == nil && v.Refused != nil && !repeated && !unbounded:
 		return &RefusedError{*v.Refused}
 	}
 	if err != nil {
@@ -93,9 +96,9 @@
 	if unknown {
 		n.open.note(n.Clock(), p.ID)
 	}
-	end := n.open.begin(p.ID)
+	n.open.begin(p.ID)
 	err = n.appendDirect(ctx, p, unknown || repeated)
-	end(n.Clock(), OutcomeUnknown(err))
+	n.open.end(n.Clock(), p.ID, OutcomeUnknown(err))
 	return err
 }
 
@@ -114,11 +117,12 @@
 
 // propose lets the owner write. After an error that matches platform.ErrOutcomeUnknown
 // the record may be in the log.
-func (n *Node) propose(ctx context.Context, p Proposal) (Verdict, error) {
-	if n.ownedDispatcher() != nil {
+func (n *Node) propose(ctx context.Context, owner job.Ownership, p Proposal) (Verdict, error) {
+	if epoch := n.ownedEpochNow(); epoch != 0 {
+		now := n.Clock()
+		p.Term = Term{Epoch: epoch, Sent: now, Expiry: now + ownerTimeout}
 		return n.decideProposal(ctx, p)
 	}
-	owner := n.table.Owner()
 	addr, err := netip.ParseAddrPort(owner.Addr)
 	if err != nil {
 		return Verdict{}, errNotOwner
@@ -180,28 +184,57 @@
 
 // decideProposal decides on a Proposal as the shard's owner and writes its record.
 func (n *Node) decideProposal(ctx context.Context, p Proposal) (Verdict, error) {
-	if p.Term.late(n.Clock(), n.ownedEpochNow()) {
+	d, v, err := n.beginWrite(p)
+	if d == nil {
+		return v, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	err = d.Write(ctx, p.Record)
+	v = Verdict{Written: err == nil, Unknown: err != nil && !errors.Is(err, store.ErrUnavailable)}
+	n.open.end(n.Clock(), p.ID, v.Unknown)
+	return v, nil
+}
+
+// beginWrite returns the dispatcher that is to write a proposal's record, whose write is then open,
+// or nil and the answer. Decisions are made one at a time: a job whose caller was told that it never
+// runs is not admitted by a call that was made before.
+func (n *Node) beginWrite(p Proposal) (*dispatch.Dispatcher, Verdict, error) {
+	n.deciding.Lock()
+	defer n.deciding.Unlock()
+	d, now := n.ownedDispatcher(), n.Clock()
+	if d == nil || p.Term.late(now, d.Ownership.Epoch) {
 		n.reportLate("propose", p.Term, logrus.Fields{"job": p.ID})
+		return nil, Verdict{}, errNotOwner
 	}
-	d := n.ownedDispatcher()
-	if d == nil || n.Outage() > ownerJoinMaxAge {
-		return Verdict{}, errNotOwner
+	if n.Outage() > ownerJoinMaxAge {
+		return nil, Verdict{}, errNotOwner
 	}
 	if p.Submission != nil {
 		if _, known := n.table.Get(p.ID); known {
-			return Verdict{Written: true}, nil
+			return nil, Verdict{Written: true}, nil
 		}
-		if a := d.Admit(p.Submission); !a.Admitted && !n.mustStore(p.ID) {
-			return Verdict{Refused: &a}, nil
+		if a := n.admit(d, now, p); !a.Admitted {
+			return nil, Verdict{Refused: &a}, nil
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
-	defer cancel()
-	end := n.open.begin(p.ID)
-	err := d.Write(ctx, p.Record)
-	v := Verdict{Written: err == nil, Unknown: err != nil && !errors.Is(err, store.ErrUnavailable)}
-	end(n.Clock(), v.Unknown)
-	return v, nil
+	n.open.begin(p.ID)
+	return d, Verdict{}, nil
+}
+
+// admit decides on the admission of a job. The caller holds deciding.
+func (n *Node) admit(d *dispatch.Dispatcher, now time.Duration, p Proposal) scheduler.Admission {
+	if n.mustStore(p.ID) {
+		return scheduler.Admission{Admitted: true}
+	}
+	if a, refused := n.refusals.after(p.Term.Sent, p.ID); refused && p.Term.Epoch != 0 {
+		return a
+	}
+	a := d.Admit(p.Submission)
+	if !a.Admitted {
+		n.refusals.add(now, p.ID, a)
+	}
+	return a
 }
 
 // mustStore reports whether a job is stored whatever the load: an earlier write may be in the
