A notice of an append that comes late does not revive a deleted job

What callers would see: a job that was cancelled or done runs again, minutes after its end.

Cause: Written applies submissions as if they had just been read from the log. A call that a cut holds up for longer than ended jobs are kept brings a job back whose records are deleted; the same false notice told an owner without answers from the store that others reach it now.

Change: the call carries a term like a proposal. After it only cancellations are applied, which start nothing; the owner's next read of the log brings the rest.

--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -23,23 +23,30 @@
 // WrittenArgs holds records that the calling host has appended to the log.
 type WrittenArgs struct {
 	Records []store.Record
+	Term    Term
 }
 
 // Written applies records that are already in the log, so that the owner need not wait
-// until it reads them there. If this host may no longer be the owner it applies only the
-// cancellations, which start nothing on any host, and fails.
+// until it reads them there. If this host may no longer be the owner, or the call comes so late
+// that the log may have deleted the records, it applies only the cancellations, which start
+// nothing on any host, and fails.
 func (s *Service) Written(args WrittenArgs, _ *Empty) error {
-	if s.node.member.ConfirmationAge() > ownerJoinMaxAge {
-		if len(args.Records) > 0 {
-			s.node.noteOthersWrite()
-		}
-		if list := cancellationsIn(args.Records); len(list) > 0 {
-			s.node.applyRecords(list)
-		}
-		return errNotOwner
+	n := s.node
+	late := args.Term.late(n.Clock(), n.ownedEpochNow())
+	if !late && n.member.ConfirmationAge() <= ownerJoinMaxAge {
+		n.applyRecords(args.Records)
+		return nil
 	}
-	s.node.applyRecords(args.Records)
-	return nil
+	switch {
+	case late:
+		n.reportLate("written", args.Term, logrus.Fields{"records": len(args.Records)})
+	case len(args.Records) > 0:
+		n.noteOthersWrite()
+	}
+	if list := cancellationsIn(args.Records); len(list) > 0 {
+		n.applyRecords(list)
+	}
+	return errNotOwner
 }
 
 // cancellationsIn returns the cancellations among records.
--- a/internal/process/node/term_test.go
+++ b/internal/process/node/term_test.go
@@ -258,3 +258,32 @@
 		})
 	}
 }
+
+// TestLateNoticeOfAppendRevivesDeletedJob guards against a job that runs again long after its end:
+// the call that told the owner of its submission was held up until the log had deleted the job.
+func TestLateNoticeOfAppendRevivesDeletedJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _, views, network := newHeldFleet(t)
+		u, b := f.nodes["u"], f.nodes["b"]
+		f.kill("w")
+		// The owner is not sure that it is, so that b appends the record itself.
+		views["u"].Set(memstore.Unresponsive, 0)
+		time.Sleep(ownerJoinMaxAge + 20*time.Millisecond)
+		views["b"].Set(memstore.Healthy, 100*time.Millisecond)
+		stored := make(chan error, 1)
+		go func() { stored <- submit(b, 3*time.Second) }()
+		time.Sleep(50 * time.Millisecond)
+		views["u"].Set(memstore.Healthy, 0)
+		network.hold()
+		must.NoError(t, <-stored)
+		time.Sleep(2 * time.Second)
+		must.Eq(t, "u", f.owner())
+		must.NoError(t, cancel(u))
+		time.Sleep(4 * time.Minute)
+		_, err := u.State(context.Background(), jobID)
+		must.ErrorIs(t, err, ErrUnknownJob)
+		network.release()
+		f.mustNotBeStored()
+		f.stopAll()
+	})
+}
--- a/internal/process/node/write.go
+++ b/internal/process/node/write.go
@@ -23,6 +23,8 @@
 	ownerTimeout = 1600 * time.Millisecond
 	// ownerReadTimeout bounds the read for a new owner after a call without an answer.
 	ownerReadTimeout = 400 * time.Millisecond
+	// notifyTimeout bounds the calls that tell the owner of a direct append.
+	notifyTimeout = 2 * time.Second
 	// appendRetryDelay is the delay before the next direct append after one that failed.
 	appendRetryDelay = 100 * time.Millisecond
 )
@@ -276,13 +278,18 @@
 
 // notifyOwner sends records that are in the log to the shard's owner.
 func (n *Node) notifyOwner(records []store.Record) {
-	addr, ok := n.owner()
-	if !ok || n.ownedDispatcher() != nil {
+	owner := n.table.Owner()
+	addr, err := netip.ParseAddrPort(owner.Addr)
+	if err != nil || n.ownedDispatcher() != nil {
 		return
 	}
 	go func() {
+		term, err := n.termFor(owner, addr, notifyTimeout)
+		if err == nil {
+			err = n.peers.CallTimeout(notifyTimeout, addr, peerService, "Written", WrittenArgs{Records: records, Term: term}, &Empty{})
+		}
 		// The owner's next read of the log makes up for a failed call.
-		if err := n.peers.Call(addr, peerService, "Written", WrittenArgs{Records: records}, &Empty{}); err != nil {
+		if err != nil {
 			n.reportOwnerUnreachable("recorded", err, logrus.Fields{"records": len(records)})
 		}
 	}()
