Stop orders are bounded by workers and link, not by a fixed number

Cause: at most 128 stop orders were under way. The owner's one processor was busy, 72% of it with renewals: a worker answers each at its next end and lists all that it runs, 757 tasks here. Answers to stops took some 40 ms for that, so 128 were some 3,000 a second, whatever the size of a job.

Evidence: all five cases of TestTasksRunOnAfterCancel (one job, twenty jobs, slow and lost workers beside, all workers slow) and TestTasksRunOnAfterCancelWithoutOwner fail on, with 3,296 to 9,568 of 12,000 tasks running 3 s after the cancel. TestStopsFillNarrowLink holds on both.

Change: 32 orders to each worker, of its 48 connections, and a congestion window of 128 to 4,096 for all. The window follows the lower quartile of the answer times, so a full link or a busy process closes it and a third of slow or lost workers does not; it is compared with the first answers of a burst, as all workers may be slow. Workers take turns. While stops wait for room, a worker's lists are read every 0.4 s at most.

--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -120,10 +120,14 @@
 func (d *Dispatcher) reportOrders() {
 	d.mu.Lock()
 	window, starts := int64(d.starts.size), int64(d.starts.inFlight)
+	stopWindow, stops, waiting := int64(d.stops.size), int64(d.stops.inFlight), int64(d.stops.waiting)
 	d.mu.Unlock()
 	d.gauge("starts.window").Update(window)
 	d.gauge("starts.in_flight").Update(starts)
-	d.gauge("stops.in_flight").Update(int64(d.stops.load()))
+	d.gauge("stops.window").Update(stopWindow)
+	d.gauge("stops.in_flight").Update(stops)
+	d.gauge("stops.waiting").Update(waiting)
+	d.gauge("throttles.in_flight").Update(int64(d.throttles.load()))
 }
 
 func (d *Dispatcher) gauge(name string) metrics.Gauge {
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -56,9 +56,8 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
-	// stops and throttles are the lanes of these orders. Start orders are bounded by
-	// starts.
-	stops, throttles *lane
+	// throttles is the lane of throttle orders.
+	throttles *lane
 	// firstContacts bounds the renew orders without a wait that are in flight.
 	firstContacts chan struct{}
 	// planRequested triggers a plan, recordRequested an append to the log.
@@ -86,6 +85,9 @@
 	shard *scheduler.Shard
 	// starts is the congestion window of start orders.
 	starts startWindow
+	// stops are the stop orders. stopTimer is set while a goroutine waits for one to be overdue.
+	stops     stopQueue
+	stopTimer bool
 	// recorded is closed and replaced each time progress has been recorded.
 	recorded chan struct{}
 	// renewing holds the workers for which a renewLoop runs, each with the channel that ends
@@ -98,9 +100,7 @@
 }
 
 const (
-	// maxConcurrentStops and maxConcurrentThrottles bound the orders of these kinds in
-	// flight.
-	maxConcurrentStops     = 128
+	// maxConcurrentThrottles bounds the throttle orders in flight.
 	maxConcurrentThrottles = 32
 )
 
@@ -111,14 +111,13 @@
 func New(c Config) *Dispatcher {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Dispatcher{
-		Config: c, ctx: ctx, cancel: cancel, starts: newStartWindow(),
+		Config: c, ctx: ctx, cancel: cancel, starts: newStartWindow(), stops: newStopQueue(),
 		firstContacts: make(chan struct{}, maxFirstContacts),
 		planRequested: make(chan struct{}, 1), recordRequested: make(chan struct{}, 1),
 		stopRequested: make(chan struct{}), finalRecordDone: make(chan struct{}),
 		shard:         scheduler.New(c.Bounds, c.Ownership, c.Clock(), c.Predecessors),
 		waitingGauges: map[int]metrics.Gauge{}, renewing: map[platform.WorkerID]chan struct{}{}, recorded: make(chan struct{}),
 	}
-	d.stops = &lane{goroutines: &d.goroutines, limit: maxConcurrentStops}
 	d.throttles = &lane{goroutines: &d.goroutines, limit: maxConcurrentThrottles}
 	return d
 }
--- a/internal/process/dispatch/flow_test.go
+++ b/internal/process/dispatch/flow_test.go
@@ -46,6 +46,13 @@
 	silent, lost map[platform.WorkerID]bool
 	// stopAnswer is how long a stop order waits for its answer, beyond the link.
 	stopAnswer, renewAnswer time.Duration
+	// stopTime, if set, is how long a worker takes to answer a stop order. One that takes longer
+	// than orderTimeout gives no answer.
+	stopTime func(platform.WorkerID) time.Duration
+	// stopped is when the stop of an attempt was answered, unansweredStops counts those that were
+	// not.
+	stopped         map[attemptKey]time.Time
+	unansweredStops int
 
 	mu       sync.Mutex
 	freeAt   time.Time
@@ -76,7 +83,7 @@
 	return &linkedWorkers{
 		bytesPerSecond: bytesPerSecond, silent: map[platform.WorkerID]bool{}, lost: map[platform.WorkerID]bool{},
 		running: map[platform.WorkerID]map[job.TaskRef]platform.Attempt{}, lastStart: map[job.ID]time.Time{},
-		firstStop: map[attemptKey]time.Time{}, stopsInFlight: map[attemptKey]int{},
+		firstStop: map[attemptKey]time.Time{}, stopped: map[attemptKey]time.Time{}, stopsInFlight: map[attemptKey]int{},
 		run: 1, renewals: map[platform.WorkerID]int{}, contacted: map[platform.WorkerID]time.Time{}, leased: map[platform.WorkerID]time.Time{},
 	}
 }
@@ -143,12 +150,21 @@
 	l.mu.Unlock()
 	answered := l.carry(stopBytes)
 	time.Sleep(l.stopAnswer)
+	if l.stopTime != nil {
+		took := l.stopTime(w.ID)
+		time.Sleep(min(took, orderTimeout))
+		answered = answered && took < orderTimeout
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stopsInFlight[key]--
 	if !answered || l.stopAnswer > 0 {
+		l.unansweredStops++
 		return fleet.Answer{}, platform.ErrOutcomeUnknown
 	}
+	if l.stopped[key].IsZero() {
+		l.stopped[key] = time.Now()
+	}
 	return fleet.Answer{Verdict: fleet.Accepted, Clock: l.clock()}, nil
 }
 
--- a/internal/process/dispatch/lag.go
+++ b/internal/process/dispatch/lag.go
@@ -31,7 +31,7 @@
 		lag = smoothLag(lag, max(0, d.Clock()-due))
 		d.gauge("owner.lag_us").Update(lag.Microseconds())
 		d.mu.Lock()
-		d.starts.lag = lag
+		d.starts.lag, d.stops.lag = lag, lag
 		d.mu.Unlock()
 	}
 }
--- a/internal/process/dispatch/orders.go
+++ b/internal/process/dispatch/orders.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/siskinvane/siskinvane/internal/platform/fleet"
 	"github.com/siskinvane/siskinvane/internal/process/event"
+	"github.com/siskinvane/siskinvane/internal/process/pause"
 	"github.com/siskinvane/siskinvane/internal/scheduler"
 )
 
@@ -14,9 +15,7 @@
 // nor for orders that cannot be sent yet: starts are bounded by the plan, advice
 // requests by the shard. orders are the starts' places in the window.
 func (d *Dispatcher) sendOrders(planned scheduler.Instant, a scheduler.Actions, orders []*windowOrder) {
-	for _, stop := range a.Stops {
-		d.stops.submit(func() { d.sendStop(planned, stop) })
-	}
+	d.addStops(planned, a.Stops)
 	for i, start := range a.Starts {
 		d.goroutines.Go(func() { d.sendStart(start, orders[i]) })
 	}
@@ -88,17 +87,57 @@
 	})
 }
 
-func (d *Dispatcher) sendStop(planned scheduler.Instant, a scheduler.StopAction) {
+// addStops queues stop orders and sends those for which there is room.
+func (d *Dispatcher) addStops(planned scheduler.Instant, stops []scheduler.StopAction) {
+	if len(stops) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, stop := range stops {
+		d.stops.add(planned, stop)
+	}
+	d.sendStops(d.Clock())
+}
+
+// sendStops sends the stop orders for which there is room. The caller holds d.mu.
+func (d *Dispatcher) sendStops(now scheduler.Instant) {
+	for o := d.stops.next(now); o != nil; o = d.stops.next(now) {
+		d.goroutines.Go(func() { d.sendStop(o) })
+	}
+	if until, heldUp := d.stops.heldUpUntil(); heldUp && !d.stopTimer {
+		d.stopTimer = true
+		d.goroutines.Go(func() {
+			// After the dispatcher's end orders are not sent any more.
+			ended := pause.For(d.ctx, until-now) != nil
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if d.stopTimer = false; !ended {
+				d.sendStops(d.Clock())
+			}
+		})
+	}
+}
+
+func (d *Dispatcher) sendStop(o *stopOrder) {
 	answer, err := fleet.Answer{}, ErrFenced
-	if d.MayAct() {
-		d.timer("stops.queued").Update(d.Clock() - planned)
-		answer, err = d.Workers.Stop(d.ctx, a.Worker, a.Order)
+	mayAct := d.MayAct()
+	if mayAct {
+		d.timer("stops.queued").Update(o.sentAt - o.planned)
+		answer, err = d.Workers.Stop(d.ctx, o.Worker, o.Order)
 	}
 	if answer.Verdict == fleet.RefusedFenced {
 		d.Relinquish(ErrFenced)
 		return
 	}
-	d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) { s.StopAnswered(now, a, answer, err) })
+	d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) {
+		if mayAct {
+			d.stops.adjust(now, now-o.sentAt, err == nil)
+		}
+		d.stops.release(o)
+		d.sendStops(now)
+		s.StopAnswered(now, o.StopAction, answer, err)
+	})
 }
 
 func (d *Dispatcher) sendPace(planned scheduler.Instant, a scheduler.ThrottleAction) {
--- /dev/null
+++ b/internal/process/dispatch/stops_test.go
@@ -0,0 +1,138 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/siskinvane/siskinvane/internal/platform"
+	"github.com/siskinvane/siskinvane/internal/scheduler/job"
+)
+
+const (
+	// cancelTime is how long after a cancel's answer tasks may still be ordered to stop.
+	cancelTime = 3 * time.Second
+	// wideWorkers and wideTasks are the workers of a deployment and the small tasks that run there.
+	wideWorkers = 64
+	wideTasks   = 12_000
+)
+
+// smallTasks returns a job of tasks of which a worker runs hundreds.
+func smallTasks(id string, tasks int) job.Entry {
+	e := entry(id, tasks)
+	e.Submission.Spec.Steps[0].Size = platform.Resources{MilliCPU: 100, MemoryMB: 100}
+	return e
+}
+
+// eachThird returns the answer time late for each third worker, and 40 ms for the others.
+func eachThird(late time.Duration) func(platform.WorkerID) time.Duration {
+	return func(id platform.WorkerID) time.Duration {
+		if isThird(id) {
+			return late
+		}
+		return 40 * time.Millisecond
+	}
+}
+
+func isThird(id platform.WorkerID) bool {
+	i := 0
+	_, _ = fmt.Sscanf(string(id), "w%d", &i)
+	return i%3 == 0
+}
+
+// TestTasksRunOnAfterCancel guards against tasks of cancelled jobs that run on for seconds, as a
+// fixed number of stop orders was under way whatever the number of workers and their answer times.
+func TestTasksRunOnAfterCancel(t *testing.T) {
+	never := 2 * orderTimeout
+	for name, c := range map[string]struct {
+		jobs     int
+		stopTime func(platform.WorkerID) time.Duration
+		// late is set if the stops of each third worker do not count.
+		late bool
+	}{
+		"one job":              {jobs: 1, stopTime: eachThird(40 * time.Millisecond)},
+		"many jobs":            {jobs: 20, stopTime: eachThird(40 * time.Millisecond)},
+		"beside slow workers":  {jobs: 1, stopTime: eachThird(300 * time.Millisecond), late: true},
+		"beside lost workers":  {jobs: 1, stopTime: eachThird(never), late: true},
+		"all workers are slow": {jobs: 1, stopTime: func(platform.WorkerID) time.Duration { return 150 * time.Millisecond }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLinkedWorkers(0)
+			l.stopTime = c.stopTime
+			withLinkedWorkers(t, l, wideWorkers, func(d *Dispatcher) {
+				var jobs []job.Entry
+				for i := range c.jobs {
+					jobs = append(jobs, smallTasks(fmt.Sprintf("%016x", i+1), wideTasks/c.jobs))
+				}
+				d.AddJobs(jobs)
+				time.Sleep(3 * time.Second)
+				l.mu.Lock()
+				must.Eq(t, wideTasks, l.accepted)
+				l.mu.Unlock()
+				for _, e := range jobs {
+					cancelJob(d, e)
+				}
+				time.Sleep(cancelTime)
+				l.mustHaveStopped(t, c.late)
+			})
+		})
+	}
+}
+
+// mustHaveStopped checks that each attempt was ordered to stop. exceptThird leaves out those on each
+// third worker.
+func (l *linkedWorkers) mustHaveStopped(t *testing.T, exceptThird bool) {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	running := 0
+	for worker, attempts := range l.running {
+		for task, number := range attempts {
+			if !(exceptThird && isThird(worker)) && l.stopped[attemptKey{worker, task, number}].IsZero() {
+				running++
+			}
+		}
+	}
+	must.Zero(t, running)
+}
+
+// TestTasksRunOnAfterCancelWithoutOwner guards against the same where a new owner finds the tasks of
+// jobs that were cancelled while there was none.
+func TestTasksRunOnAfterCancelWithoutOwner(t *testing.T) {
+	l := newLinkedWorkers(0)
+	l.stopTime = eachThird(40 * time.Millisecond)
+	for i := range wideTasks {
+		worker := workerID(i % wideWorkers)
+		if l.running[worker] == nil {
+			l.running[worker] = map[job.TaskRef]platform.Attempt{}
+		}
+		l.running[worker][job.TaskRef{Job: firstJob, Index: i}] = 1
+	}
+	withLinkedWorkers(t, l, wideWorkers, func(*Dispatcher) {
+		time.Sleep(cancelTime - 2*time.Second)
+		l.mustHaveStopped(t, false)
+	})
+}
+
+// TestStopsFillNarrowLink guards against stop orders that fill the owner's link for longer than an
+// order waits for its answer, so that they are repeated and leases are lost.
+func TestStopsFillNarrowLink(t *testing.T) {
+	l := newLinkedWorkers(0)
+	withLinkedWorkers(t, l, wideWorkers, func(d *Dispatcher) {
+		e := smallTasks(firstJob, wideTasks)
+		d.AddJobs([]job.Entry{e})
+		time.Sleep(3 * time.Second)
+		l.mu.Lock()
+		must.Eq(t, wideTasks, l.accepted)
+		l.bytesPerSecond = narrowLink
+		l.mu.Unlock()
+		cancelJob(d, e)
+		const seconds = 3
+		time.Sleep(seconds * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		must.Greater(t, 0.8*seconds*narrowLink/stopBytes, float64(len(l.stopped)))
+		must.Less(t, len(l.stopped)/20, l.unansweredStops)
+	})
+}
