The end of a task takes no longer on a worker that runs many

For each listed end the colocation of its worker was computed anew from all that runs there.

Change: it is computed once for the ends of an answer.

--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -142,6 +142,15 @@
 // untrackAttempt removes an attempt and releases its resources. It reports whether the
 // attempt was tracked.
 func (s *Shard) untrackAttempt(now Instant, a *attempt) bool {
+	if !s.removeAttempt(now, a) {
+		return false
+	}
+	s.updateColocation(now, a.worker)
+	return true
+}
+
+// removeAttempt is untrackAttempt for a caller that updates the worker's colocation itself.
+func (s *Shard) removeAttempt(now Instant, a *attempt) bool {
 	w := a.worker
 	if w.attempts[a.ref] != a {
 		return false
@@ -155,7 +164,6 @@
 		w.batchAttempts--
 		s.batchReserved -= a.size.MilliCPU
 	}
-	s.updateColocation(now, w)
 	if t := a.task; t != nil {
 		t.liveAttempts = slices.DeleteFunc(t.liveAttempts, func(other *attempt) bool { return other == a })
 		if j := t.step.job; j.liveAttempts > 0 {
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -39,9 +39,7 @@
 	w.unresponsiveSince = 0
 	w.ended.acknowledged = w.ended.sent
 	w.setListsRead(now, sent, lists.Clock)
-	for _, e := range lists.Ended {
-		s.applyEnd(now, w, e)
-	}
+	s.applyEnds(now, w, lists.Ended)
 	w.ended.goesOn = lists.EndsGoOn()
 	if !w.ended.goesOn {
 		w.ended.through = now
@@ -69,7 +67,19 @@
 	}
 }
 
-// applyEnd applies a listed end, unless that was done before.
+// applyEnds applies listed ends, and then their effect on the tasks that share the worker.
+func (s *Shard) applyEnds(now Instant, w *workerState, ends []fleet.Ended) {
+	before := len(w.attempts)
+	for _, e := range ends {
+		s.applyEnd(now, w, e)
+	}
+	if len(w.attempts) != before {
+		s.updateColocation(now, w)
+	}
+}
+
+// applyEnd applies a listed end, unless that was done before. The worker's colocation is left as it
+// was.
 func (s *Shard) applyEnd(now Instant, w *workerState, e fleet.Ended) {
 	if e.Number <= w.ended.applied {
 		return
@@ -88,7 +98,7 @@
 	}
 	s.notes.Ended = append(s.notes.Ended, note)
 	if a != nil {
-		s.untrackAttempt(now, a)
+		s.removeAttempt(now, a)
 	}
 	if _, known := s.jobs[e.Task.Job]; !known {
 		s.heldEnds = append(s.heldEnds, heldEnd{Ended: e, worker: w.info.ID, listedAt: now, pending: w.ended.add(e.Number, notRecordable)})
