--- a/internal/process/dispatch/stops.go
+++ b/internal/process/dispatch/stops.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// maxStopsPerWorker bounds the stop orders to one worker that wait for their answers. It
-	// leaves a third of the owner's connections to the worker to renewals and starts.
-	maxStopsPerWorker = 32
+	// maxStopsPerWorker bounds the stop orders to one worker that wait for their answers. Each
+	// needs a connection, and the connections of owners that are lost stay open at the worker,
+	// which accepts 64.
+	maxStopsPerWorker = 16
 	// minStopWindow and maxStopWindow bound the stop orders to all workers that wait for their
 	// answers for less than stopOverdueAfter.
 	minStopWindow = 128
