An owner opens few connections to each worker

Cause: an owner opened a connection for each order under way to a worker, up to 48. Those of an owner whose machine is lost stay open at the worker, which accepts 64 from all hosts together, and resets the others.

Evidence: TestLostOwnersFillWorkersChannels fails on (27 calls at a time to a worker: 540 of twenty owners).

Change: two start and throttle orders are under way to a worker, the others wait for their turn and are made ready only then; one that takes over 150 ms gives its room up, so that a silent worker is given up as soon as before. Two stop orders, and 16 once more than 16 wait for the worker. So the usual connections are three for orders of one kind and the renewal, and five at the most outside of mass cancels.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -56,8 +56,10 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
-	// throttles is the lane of throttle orders.
+	// throttles is the lane of throttle orders. These and start orders take turns in the lanes of
+	// their workers as well.
 	throttles *lane
+	orders    *workerLanes
 	// firstContacts bounds the renew orders without a wait that are in flight.
 	firstContacts chan struct{}
 	// planRequested triggers a plan, recordRequested an append to the log.
@@ -118,6 +120,7 @@
 		shard:         scheduler.New(c.Bounds, c.Ownership, c.Clock(), c.Predecessors),
 		waitingGauges: map[int]metrics.Gauge{}, renewing: map[platform.WorkerID]chan struct{}{}, recorded: make(chan struct{}),
 	}
+	d.orders = &workerLanes{goroutines: &d.goroutines, lanes: map[platform.WorkerID]*lane{}}
 	d.throttles = &lane{goroutines: &d.goroutines, limit: maxConcurrentThrottles}
 	return d
 }
--- a/internal/process/dispatch/flow_test.go
+++ b/internal/process/dispatch/flow_test.go
@@ -53,6 +53,9 @@
 	// not.
 	stopped         map[attemptKey]time.Time
 	unansweredStops int
+	// calls counts the calls under way to each worker, mostCalls is the greatest number to one.
+	calls     map[platform.WorkerID]int
+	mostCalls int
 
 	mu       sync.Mutex
 	freeAt   time.Time
@@ -111,8 +114,25 @@
 	return wait <= orderTimeout
 }
 
+// call counts a call to a worker as under way until the returned function is called.
+func (l *linkedWorkers) call(id platform.WorkerID) (end func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.calls == nil {
+		l.calls = map[platform.WorkerID]int{}
+	}
+	l.calls[id]++
+	l.mostCalls = max(l.mostCalls, l.calls[id])
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.calls[id]--
+	}
+}
+
 // Start implements fleet.Workers.
 func (l *linkedWorkers) Start(_ context.Context, w fleet.Worker, o fleet.StartOrder) (fleet.Answer, error) {
+	defer l.call(w.ID)()
 	l.mu.Lock()
 	l.lastStart[o.Task.Job] = time.Now()
 	l.startsInFlight++
@@ -140,6 +160,7 @@
 
 // Stop implements fleet.Workers.
 func (l *linkedWorkers) Stop(_ context.Context, w fleet.Worker, o fleet.StopOrder) (fleet.Answer, error) {
+	defer l.call(w.ID)()
 	key := attemptKey{w.ID, o.Task, o.Attempt}
 	l.mu.Lock()
 	if l.firstStop[key].IsZero() {
@@ -175,6 +196,7 @@
 
 // Renew implements fleet.Workers.
 func (l *linkedWorkers) Renew(ctx context.Context, w fleet.Worker, o fleet.RenewOrder) (fleet.RenewReply, error) {
+	defer l.call(w.ID)()
 	l.mu.Lock()
 	l.renewals[w.ID]++
 	if o.Wait == 0 {
--- a/internal/process/dispatch/lane.go
+++ b/internal/process/dispatch/lane.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/siskinvane/siskinvane/internal/platform"
 )
 
 // laneHold is how long a call takes up room in its lane. One that takes longer probably
@@ -63,3 +65,36 @@
 	defer l.mu.Unlock()
 	return l.running + len(l.queue)
 }
+
+// maxOrdersPerWorker bounds the start and throttle orders to one worker that have been under way for
+// less than laneHold. Each needs a connection, and the connections of owners that are lost stay open
+// at the worker, which accepts 64 from all hosts together.
+const maxOrdersPerWorker = 2
+
+// workerLanes has a lane for each worker with orders. It is safe for concurrent use.
+type workerLanes struct {
+	goroutines *sync.WaitGroup
+
+	mu    sync.Mutex
+	lanes map[platform.WorkerID]*lane
+}
+
+// submit runs call as soon as there is room in the lane of a worker. It does not block.
+func (l *workerLanes) submit(id platform.WorkerID, call func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lanes[id] == nil {
+		l.dropIdle()
+		l.lanes[id] = &lane{goroutines: l.goroutines, limit: maxOrdersPerWorker}
+	}
+	l.lanes[id].submit(call)
+}
+
+// dropIdle drops the lanes without orders: workers come and go. The caller holds mu.
+func (l *workerLanes) dropIdle() {
+	for id, w := range l.lanes {
+		if w.load() == 0 {
+			delete(l.lanes, id)
+		}
+	}
+}
--- a/internal/process/dispatch/orders.go
+++ b/internal/process/dispatch/orders.go
@@ -17,10 +17,17 @@
 func (d *Dispatcher) sendOrders(planned scheduler.Instant, a scheduler.Actions, orders []*windowOrder) {
 	d.addStops(planned, a.Stops)
 	for i, start := range a.Starts {
-		d.goroutines.Go(func() { d.sendStart(start, orders[i]) })
+		d.orders.submit(start.Worker.ID, func() { d.sendStart(start, orders[i]) })
 	}
 	for _, pace := range a.Throttles {
-		d.throttles.submit(func() { d.sendPace(planned, pace) })
+		d.throttles.submit(func() {
+			sent := make(chan struct{})
+			d.orders.submit(pace.Worker.ID, func() {
+				defer close(sent)
+				d.sendPace(planned, pace)
+			})
+			<-sent
+		})
 	}
 	for _, ask := range a.AdviceRequests {
 		d.goroutines.Go(func() { d.requestAdvice(ask) })
--- a/internal/process/dispatch/stops.go
+++ b/internal/process/dispatch/stops.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// maxStopsPerWorker bounds the stop orders to one worker that wait for their answers. Each
-	// needs a connection, and the connections of owners that are lost stay open at the worker,
-	// which accepts 64.
+	// maxStopsPerWorker bounds the stop orders to one worker that wait for their answers once more
+	// than that many have waited to be sent to it. The usual few need no more connections than
+	// other orders, maxOrdersPerWorker.
 	maxStopsPerWorker = 16
 	// minStopWindow and maxStopWindow bound the stop orders to all workers that wait for their
 	// answers for less than stopOverdueAfter.
@@ -55,9 +55,10 @@
 
 // workerStops are the stop orders to one worker.
 type workerStops struct {
-	waiting  []*stopOrder
-	inFlight int
-	inTurns  bool
+	waiting []*stopOrder
+	// inFlight counts the orders that wait for their answers, limit bounds it.
+	inFlight, limit int
+	inTurns         bool
 }
 
 // stopOrder is a stop order that waits, or that was sent at the time sentAt.
@@ -75,20 +76,23 @@
 func (q *stopQueue) add(planned scheduler.Instant, a scheduler.StopAction) {
 	w := q.workers[a.Worker.ID]
 	if w == nil {
-		w = &workerStops{}
+		w = &workerStops{limit: maxOrdersPerWorker}
 		q.workers[a.Worker.ID] = w
 	}
 	if q.waiting+q.inFlight == 0 {
 		q.answerTime, q.easyAnswer = 0, 0
 	}
 	w.waiting = append(w.waiting, &stopOrder{StopAction: a, planned: planned})
+	if len(w.waiting) > maxStopsPerWorker {
+		w.limit = maxStopsPerWorker
+	}
 	q.waiting++
 	q.takeTurn(w)
 }
 
 // takeTurn lets a worker take turns if it has an order and a place for it.
 func (q *stopQueue) takeTurn(w *workerStops) {
-	if !w.inTurns && len(w.waiting) > 0 && w.inFlight < maxStopsPerWorker {
+	if !w.inTurns && len(w.waiting) > 0 && w.inFlight < w.limit {
 		w.inTurns = true
 		q.turns = append(q.turns, w)
 	}
--- a/internal/process/dispatch/stops_test.go
+++ b/internal/process/dispatch/stops_test.go
@@ -136,3 +136,23 @@
 		must.Less(t, len(l.stopped)/20, l.unansweredStops)
 	})
 }
+
+// TestLostOwnersFillWorkersChannels guards against workers that accept no order any more: each owner
+// opened as many connections to a worker as it had orders, and those of lost owners stay open there.
+func TestLostOwnersFillWorkersChannels(t *testing.T) {
+	const accepted, owners = 64, 20
+	l := newLinkedWorkers(0)
+	withLinkedWorkers(t, l, 10, func(d *Dispatcher) {
+		d.AddJobs([]job.Entry{entry(firstJob, 700)})
+		cancelled := entry(secondJob, 100)
+		d.AddJobs([]job.Entry{cancelled})
+		time.Sleep(time.Second)
+		cancelJob(d, cancelled)
+		time.Sleep(time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		must.Eq(t, 800, l.accepted)
+		must.MapLen(t, 100, l.stopped)
+		must.LessEq(t, accepted, owners*l.mostCalls)
+	})
+}
