Stop orders that wait for one worker pace the lists of that worker only

Callers would see: ends are noticed up to 0.4 s late on all workers for as long as a lost one has three tasks or more to stop.

Cause: the pause between renewals held for all workers while any stop order waited; with two orders under way to a worker, some always wait for one that does not answer.

--- a/internal/process/dispatch/renew.go
+++ b/internal/process/dispatch/renew.go
@@ -158,7 +158,7 @@
 // then counts, so that the worker's lists do not grow too old to extend its leases.
 func (d *Dispatcher) pauseBeforeRenewal(id platform.WorkerID, answeredAt scheduler.Instant) {
 	d.mu.Lock()
-	wait := max(d.shard.RenewPause(id), d.starts.renewPause(), d.stops.renewPause()) - (d.Clock() - answeredAt)
+	wait := max(d.shard.RenewPause(id), d.starts.renewPause(), d.stops.renewPause(id)) - (d.Clock() - answeredAt)
 	d.mu.Unlock()
 	if wait > 0 {
 		// The loop ends with the context.
--- a/internal/process/dispatch/stops.go
+++ b/internal/process/dispatch/stops.go
@@ -13,7 +13,7 @@
 	// other orders, maxOrdersPerWorker.
 	maxStopsPerWorker = 16
 	// minStopWindow and maxStopWindow bound the stop orders to all workers that wait for their
-	// answers for less than stopOverdueAfter.
+	// answers and are not overdue.
 	minStopWindow = 128
 	maxStopWindow = 4096
 	// maxEasyAnswer bounds the answer time that is put down to the workers, so that orders do not
@@ -192,11 +192,11 @@
 	q.easyAnswer = min(q.easyAnswer, q.answerTime)
 }
 
-// renewPause returns how long to wait between two renewals of a worker for the sake of stop orders:
-// a worker lists all that it runs at each end, which takes the room and the processor time of the
-// orders that wait.
-func (q *stopQueue) renewPause() time.Duration {
-	if q.waiting == 0 {
+// renewPause returns how long to wait between two renewals of a worker to which many stop orders
+// wait: it lists all that it runs at each end, which takes the room and the processor time of the
+// orders.
+func (q *stopQueue) renewPause(id platform.WorkerID) time.Duration {
+	if w := q.workers[id]; w == nil || w.limit < maxStopsPerWorker || len(w.waiting) == 0 {
 		return 0
 	}
 	return maxRenewPause
--- a/internal/process/dispatch/stops_test.go
+++ b/internal/process/dispatch/stops_test.go
@@ -156,3 +156,34 @@
 		must.LessEq(t, accepted, owners*l.mostCalls)
 	})
 }
+
+// TestStopsToLostWorkerDelayLists guards against ends that are noticed late on all workers while stop
+// orders to one that does not answer are repeated.
+func TestStopsToLostWorkerDelayLists(t *testing.T) {
+	const watched = 12 * time.Second
+	l := newLinkedWorkers(0)
+	l.stopTime = func(id platform.WorkerID) time.Duration {
+		if id == workerID(0) {
+			return 2 * orderTimeout
+		}
+		return roundTrip
+	}
+	withLinkedWorkers(t, l, 10, func(d *Dispatcher) {
+		// While a batch task runs, its end is awaited without a pause.
+		batch := entry(secondJob, 50)
+		batch.Submission.Spec.Steps[0].LongRunning, batch.Submission.Spec.Steps[0].EstimateMS = false, 60_000
+		e := entry(firstJob, 300)
+		d.AddJobs([]job.Entry{batch, e})
+		time.Sleep(2 * time.Second)
+		cancelJob(d, e)
+		time.Sleep(time.Second)
+		l.mu.Lock()
+		before := l.renewals[workerID(1)]
+		l.mu.Unlock()
+		time.Sleep(watched)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		const longestWait = 1200 * time.Millisecond
+		must.GreaterEq(t, int(watched/(longestWait+roundTrip)), l.renewals[workerID(1)]-before)
+	})
+}
