--- a/internal/process/node/write.go
+++ b/internal/process/node/write.go
@@ -229,6 +229,7 @@
 	if n.mustStore(p.ID) {
 		return scheduler.Admission{Admitted: true}
 	}
+	// Hosts of earlier versions do not tell when they sent a call.
 	if a, refused := n.refusals.after(p.Term.Sent, p.ID); refused && p.Term.Epoch != 0 {
 		return a
 	}
