Tests of a new owner kill the one before once its claim is in the log

A host counts as the owner as soon as its dispatcher runs, and its first record follows. The test killed it in between, so the next owner found no claim in the log and took the first one. An owner acts only once its claim is in the log, so nothing is wrong with the hosts.

The two tests now wait for the claim.

--- a/internal/process/node/predecessor_test.go
+++ b/internal/process/node/predecessor_test.go
@@ -45,7 +45,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t, "x", "y")
-				f.awaitOwner(2*time.Second, isWide)
+				f.awaitClaim(2*time.Second, isWide)
 				first, other := f.ownerAndOther()
 				must.Zero(t, told(f.nodes[first]))
 				c.end(f, first, other)
@@ -99,13 +99,13 @@
 func TestNewOwnerHearsThatOwnerBeforeLastHasEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "x", "y", "z")
-		f.awaitOwner(2*time.Second, isWide)
+		f.awaitClaim(2*time.Second, isWide)
 		first := f.owner()
 		f.setCutOff(first, true)
-		f.awaitOwner(4*time.Second, func(owner string) bool { return owner != first })
+		f.awaitClaim(4*time.Second, func(owner string) bool { return owner != first })
 		second := f.owner()
 		f.kill(second)
-		f.awaitOwner(4*time.Second, func(owner string) bool { return owner != first && owner != "" })
+		f.awaitClaim(4*time.Second, func(owner string) bool { return owner != first })
 		third := f.nodes[f.owner()]
 		must.Eq(t, 3, third.ownedDispatcher().Ownership.Claim)
 		told := metrics.GetOrRegisterCounter("shard.predecessor_ended", third.Metrics)
--- a/internal/process/node/standby_test.go
+++ b/internal/process/node/standby_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/store"
+	"github.com/siskinvane/siskinvane/internal/process/dispatch"
 	"github.com/siskinvane/siskinvane/internal/process/peer"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 	"github.com/siskinvane/siskinvane/internal/standin/memstore"
@@ -88,6 +89,19 @@
 	return time.Since(began)
 }
 
+// awaitClaim returns once the owner satisfies ok and its ownership is in the log. An owner that is
+// killed earlier leaves no trace, so the next one's claim has the same number.
+func (f *fleetOf) awaitClaim(limit time.Duration, ok func(owner string) bool) {
+	f.t.Helper()
+	f.awaitOwner(limit, func(owner string) bool {
+		if owner == "" || !ok(owner) {
+			return false
+		}
+		d := f.nodes[owner].ownedDispatcher()
+		return d != nil && !errors.Is(d.Unable(), dispatch.ErrNotClaimed)
+	})
+}
+
 // watchOwners returns the hosts that own the shard in the given time, in order.
 func (f *fleetOf) watchOwners(d time.Duration) []string {
 	var seen []string
