Records take effect before their callers are answered

Callers saw: the submission of a job that its caller had just cancelled was refused with the time to come back (429), and so could the repetition of an accepted job be. Now and then, and more often on a busy machine.

Cause: an owner answered the callers of an append and then applied the records to its own table. A request that came in between was decided as if the record were not there.

Change: recordProgress applies what was written, then answers. Direct appends have always done so. Answers are later by the time that the table takes.

--- a/internal/process/dispatch/record.go
+++ b/internal/process/dispatch/record.go
@@ -166,15 +166,16 @@
 	for rest, writes := b.records, b.writes; err == nil && len(rest) > 0; writes = nil {
 		n := store.Fitting(rest, d.AppendBytes)
 		outcomes := d.appendEach(w, rest[:n])
-		for i, pending := range writes {
-			pending.done <- outcomes[i]
-		}
 		var written []store.Record
 		if written, err = d.sortOutcomes(&b, rest[:n], outcomes); len(written) > 0 {
 			untouched = false
 			// The tasks of a job that was cancelled must stop even if a later append fails.
 			d.OnRecorded(written)
 		}
+		// A caller's next request must find its record.
+		for i, pending := range writes {
+			pending.done <- outcomes[i]
+		}
 		rest = rest[n:]
 	}
 	switch {
--- a/internal/process/dispatch/write_test.go
+++ b/internal/process/dispatch/write_test.go
@@ -167,6 +167,26 @@
 	must.True(t, inTime)
 }
 
+// TestRequestAfterAnswerMissesRecord: a caller's next request was refused, since its owner answered
+// the one before and then took in what it had recorded.
+func TestRequestAfterAnswerMissesRecord(t *testing.T) {
+	var recorded atomic.Bool
+	var writeErr error
+	known := false
+	change := func(c *Config) {
+		c.OnRecorded = func([]store.Record) {
+			time.Sleep(time.Millisecond)
+			recorded.Store(true)
+		}
+	}
+	withConfiguredDispatcher(t, &faultyStore{}, change, func(d *Dispatcher) {
+		_, writeErr = d.timedWrite(time.Second)
+		known = recorded.Load()
+	})
+	must.NoError(t, writeErr)
+	must.True(t, known)
+}
+
 // TestLargeProgressBlocksNoOtherRecords: the progress of a job with many stopped tasks was
 // rejected by the store, again and again, and with it the records of all other jobs.
 func TestLargeProgressBlocksNoOtherRecords(t *testing.T) {
