A filler whose job has nothing running starts without spare CPU

Cause: fillers reserve no CPU, but were started only where other fillers left 1.5 times their size. Where all workers are full of fillers, a job without a running task waited for theirs to end, on trial too.

TestFillersWaitForSpareCPU fails on: the job is still queued after 10 s.

Change: a trial that is urgent needs the resources that a filler reserves, no spare CPU. The fillers of a worker share what CPU it has; their harm is bounded as on any trial.

--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -12,12 +12,15 @@
 const minSpareFactor = 1.5
 
 // feasible reports whether a worker has the resources and the properties that a task of a
-// step needs.
+// step needs, and the CPU with which a filler is worth starting.
 func feasible(r *stepRun, w *workerState) bool {
+	return fits(r, w) && (!r.spec.Fills || w.hasSpareCPU(r.spec))
+}
+
+// fits reports whether a worker has the resources that a task of a step reserves, and the
+// properties that it needs.
+func fits(r *stepRun, w *workerState) bool {
 	step := r.spec
-	if step.Fills && !w.hasSpareCPU(step) {
-		return false
-	}
 	if !step.Reserved().Fits(w.free()) {
 		return false
 	}
--- a/internal/scheduler/rating.go
+++ b/internal/scheduler/rating.go
@@ -35,10 +35,14 @@
 
 // accepts reports whether a worker can take one more task of a step.
 func (p *placement) accepts(r *stepRun, image headroom.ImageID, w *workerState) bool {
-	if !r.permitted(p.now, w) || !feasible(r, w) {
+	if !r.permitted(p.now, w) || !fits(r, w) {
 		return false
 	}
-	return !r.spec.Fills || p.shard.headroomAllows(p.now, r.spec, image, w) || p.onTrial && w.mayTry(p.now, p.urgent)
+	// An urgent filler is slow without spare CPU, but its job has waited with nothing running.
+	if !r.spec.Fills || p.onTrial && p.urgent && w.mayTry(p.now, true) {
+		return true
+	}
+	return w.hasSpareCPU(r.spec) && (p.shard.headroomAllows(p.now, r.spec, image, w) || p.onTrial && w.mayTry(p.now, false))
 }
 
 // best returns the worker with the highest score that can take a task, the first one of
--- a/internal/scheduler/trial_test.go
+++ b/internal/scheduler/trial_test.go
@@ -251,3 +251,20 @@
 		})
 	}
 }
+
+// TestFillersWaitForSpareCPU: fillers of a job with nothing running waited until those of other
+// jobs left them CPU, although fillers reserve none.
+func TestFillersWaitForSpareCPU(t *testing.T) {
+	h := newHarness(t, 4)
+	h.submit(firstID, fixedLength(20), nil, fillerStep(32, "long"))
+	h.run(3 * time.Second)
+	must.GreaterEq(t, 16, h.cluster.Running(firstID))
+	id := h.submit("00000000000000a2", fixedLength(1), nil, fillerStep(2, "short"))
+	idle := &idleWatch{}
+	for range 200 {
+		idle.tick(h)
+	}
+	must.Eq(t, job.Done, h.state(id))
+	must.LessEq(t, maxIdle, idle.longest)
+	h.checkViolations()
+}
