--- a/internal/scheduler/priority.go
+++ b/internal/scheduler/priority.go
@@ -60,16 +60,19 @@
 // for as long as others arrive, when start orders or the headroom of serving tasks are
 // scarce. A job with nothing running therefore gets one task ahead of the others.
 const (
-	// starvedAfter is how long nothing of a job may run, or a long-running task may wait,
-	// before one of its tasks goes ahead of the others. The platform's rules allow 3 s
-	// while there is room.
+	// starvedAfter is how long a long-running task may wait before it goes ahead of the others,
+	// and idleAfter how long nothing of another job may run before one of its tasks does. The
+	// platform's rules allow 3 s while there is room, and in a backlog of short tasks a job runs
+	// out of tasks again and again: the time until an end is noticed and the start order is
+	// answered comes on top.
 	starvedAfter = 2 * time.Second
+	idleAfter    = 1200 * time.Millisecond
 	// startsPerStarved is the number of start orders of which one is for starved steps.
 	startsPerStarved = 4
 	// heldUpAfter replaces starvedAfter for long-running tasks while start orders hold tasks
 	// up: each of them, not only one of a job, needs an order within the 3 s.
 	heldUpAfter = time.Second
-	// starvedAtLoadAfter replaces starvedAfter for jobs that wait while half of the CPU or more
+	// starvedAtLoadAfter replaces idleAfter for jobs that wait while half of the CPU or more
 	// is reserved. They are overdue by then, and others can still be in time, but their wait
 	// must end.
 	starvedAtLoadAfter = 10 * time.Second
@@ -87,9 +90,11 @@
 		return 0, false
 	}
 	since := r.startable[0].queuedAt
-	if !r.spec.LongRunning {
+	switch {
+	case !r.spec.LongRunning:
 		since = max(since, r.job.idleSince)
-	} else if heldUp {
+		return since, now-since >= idleAfter
+	case heldUp:
 		return since, now-since >= heldUpAfter
 	}
 	return since, now-since >= starvedAfter
--- a/internal/scheduler/trial_test.go
+++ b/internal/scheduler/trial_test.go
@@ -268,3 +268,21 @@
 	must.LessEq(t, maxIdle, idle.longest)
 	h.checkViolations()
 }
+
+// TestBacklogKeepsJobsIdle: in a backlog of overdue fillers jobs had nothing running for longer
+// than allowed, since the ends of their tasks are noticed late.
+func TestBacklogKeepsJobsIdle(t *testing.T) {
+	h := newHarness(t, 12)
+	// Renewals come up to 0.95 s apart.
+	h.renewInterval = 950 * time.Millisecond
+	overdue := func(s *job.Submission) { s.Stretch, s.TargetMS = 0, 1 }
+	for i := range 200 {
+		h.submitAs(fmt.Sprintf("%016x", 0xa1+i), overdue, fixedLength(0.7), nil, fillerStep(20, "short"))
+	}
+	idle := &idleWatch{}
+	for range 400 {
+		idle.tick(h)
+	}
+	must.LessEq(t, maxIdle, idle.longest, must.Sprintf("%s waited for %v", idle.task, idle.longest))
+	h.checkViolations()
+}
