All members of a gang resume from one checkpoint under a next owner

Callers would see: a gang in which one member begins anew while the others resume, after the loss of its worker and a change of owners.

Cause: a listed end sets the checkpoint of all members in memory, but the job's progress holds it for the member that ended. The next owner started the others without it.

Evidence: the stand-in of the workers now reports a member that starts from another checkpoint than those of its gang that run.

Change: an owner that reads a job gives all members the first recorded checkpoint of one of them. Records stay as they are.

--- a/internal/scheduler/gang_test.go
+++ b/internal/scheduler/gang_test.go
@@ -108,3 +108,32 @@
 	must.Eq(t, job.Done, h.state(firstID))
 	must.Eq(t, 6, h.cluster.Starts())
 }
+
+// TestGangResumesFromDifferentCheckpoints: after the loss of a member's worker and a change of owners
+// that member began anew, while the others resumed from the checkpoint at which they had ended.
+func TestGangResumesFromDifferentCheckpoints(t *testing.T) {
+	for lost := range 3 {
+		h := newHarness(t, 4)
+		step := gangStep(3)
+		step.MaxPerWorker = 1
+		id := h.submit(firstID, fixedLength(8), nil, step)
+		h.run(3 * time.Second)
+		must.Eq(t, 3, h.cluster.Running(id))
+		h.maxStarts = 0
+		for i := range 4 {
+			if w := workerInfo(i).ID; h.cluster.AttemptOf(w, job.TaskRef{Job: id, Index: lost}) > 0 {
+				h.cluster.Crash(w)
+				h.run(200 * time.Millisecond)
+				h.cluster.Boot(h.now, w)
+				break
+			}
+		}
+		h.run(time.Second)
+		must.MapLen(t, 2, h.log[id].Checkpoints)
+		h.takeOver(true)
+		h.maxStarts = unlimitedStarts
+		h.run(30 * time.Second)
+		h.checkViolations()
+		must.Eq(t, job.Done, h.state(id))
+	}
+}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -233,6 +233,10 @@
 		}
 		number++
 	}
+	if i := slices.IndexFunc(r.tasks, func(t *task) bool { return t.checkpoint != "" }); i >= 0 {
+		// The members of a gang whose ends no owner has recorded have none of their own.
+		r.tasks[i].saveCheckpoint(r.tasks[i].checkpoint)
+	}
 	return number
 }
 
--- a/internal/standin/cluster/check.go
+++ b/internal/standin/cluster/check.go
@@ -31,6 +31,9 @@
 	}
 	c.checkSingleExecution(now, t, step, w, o)
 	c.checkPlacement(now, t, step, w, o)
+	if step.Gang {
+		c.checkGangCheckpoint(now, o)
+	}
 	for _, d := range step.DependsOn {
 		for i := range t.spec.Steps[d].Tasks {
 			if !t.done[job.TaskRef{Job: o.Task.Job, Occurrence: o.Task.Occurrence, Step: d, Index: i}] {
@@ -48,6 +51,19 @@
 	}
 }
 
+// checkGangCheckpoint records a violation if a member of a gang resumes from another checkpoint than
+// those that run.
+func (c *Cluster) checkGangCheckpoint(now time.Duration, o fleet.StartOrder) {
+	for _, w := range c.workers {
+		for ref, a := range w.running {
+			member := ref.Job == o.Task.Job && ref.Occurrence == o.Task.Occurrence && ref.Step == o.Task.Step
+			if member && a.number == o.Attempt && a.checkpoint != o.Checkpoint {
+				c.recordViolation(now, "UNASKED", "%s resumes from %q, %s from %q", o.Task, o.Checkpoint, ref, a.checkpoint)
+			}
+		}
+	}
+}
+
 // checkSingleExecution records a violation if a task that must run only once is
 // running elsewhere or is known to be done.
 func (c *Cluster) checkSingleExecution(now time.Duration, t *jobModel, step *job.Step, w *worker, o fleet.StartOrder) {
