A task of a silent worker is away for the limit of disruptions

Callers would see: two tasks of a step away at a time where one may be missing: one with its worker, which is lost, and one that a wave or a move has stopped.

Cause: disruptionAllowed counted the attempts of a silent worker as available until their leases had expired.

Evidence: TestTaskOfSilentWorkerCountsAsAvailable, with one order to stop while the task of a crashed worker is not replaced, fails without the change.

Change: attempts of workers whose latest renewal had no answer count as away. Moves and upkeep for a step wait while one of its workers is cut off; what runs on a draining worker is moved as before.

--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -163,14 +163,16 @@
 }
 
 // disruptionAllowed reports whether one more task of a step may be stopped voluntarily:
-// its caller limits how many may be missing at a time.
+// its caller limits how many may be missing at a time. Those of silent workers may be.
 func (r *stepRun) disruptionAllowed() bool {
 	if r.spec.MayMiss == 0 {
 		return true
 	}
 	disrupted := 0
 	for _, t := range r.tasks {
-		if !slices.ContainsFunc(t.liveAttempts, func(a *attempt) bool { return a.phase == running && a.progress == workingProgress }) {
+		if !slices.ContainsFunc(t.liveAttempts, func(a *attempt) bool {
+			return a.phase == running && a.progress == workingProgress && !a.worker.unresponsive()
+		}) {
 			disrupted++
 		}
 	}
--- a/internal/scheduler/drain_test.go
+++ b/internal/scheduler/drain_test.go
@@ -202,6 +202,37 @@
 	h.checkViolations()
 }
 
+// TestTaskOfSilentWorkerCountsAsAvailable: a task that lasts was stopped for a wave while another one
+// of its step was away with its worker, which had fallen silent.
+func TestTaskOfSilentWorkerCountsAsAvailable(t *testing.T) {
+	h := newHarness(t, 6)
+	step := maxOnePerWorker(longRunningStep())
+	step.Tasks, step.MayMiss = 3, 1
+	id := h.submit(firstID, nil, nil, step)
+	h.run(2 * time.Second)
+	var used []platform.WorkerID
+	for i := range 6 {
+		if h.runningOn(i) > 0 {
+			used = append(used, workerInfo(i).ID)
+		}
+	}
+	must.Len(t, 3, used)
+	h.cluster.Crash(used[0])
+	h.run(time.Second)
+	h.shard.TakeNotes()
+	h.shard.SetCordoned(used[1:2])
+	for end := h.now + 30*time.Second; h.now < end; {
+		h.tick()
+		if silent, _ := h.shard.CountAttempts(used[0]); silent > 0 {
+			must.SliceEmpty(t, h.shard.TakeNotes().Stopped)
+		}
+	}
+	longRunning, _ := h.shard.CountAttempts(used[1])
+	must.Zero(t, longRunning)
+	must.Eq(t, 3, h.cluster.Running(id))
+	h.checkViolations()
+}
+
 // TestCordonedWorkersGetNoTask cordons a worker: its resumable tasks must continue
 // elsewhere.
 func TestCordonedWorkersGetNoTask(t *testing.T) {
