A reset of a new connection closes no idle ones

Cause: after any call without an answer the idle connections to the address were closed, since they may have gone silent together. A peer that resets a new connection is not silent: it has too many. Others take the room that is given up.

Change: the dialer marks resets of connections on which nothing has been answered; after these the idle connections stay.

--- a/internal/connection/httpcall/httpcall.go
+++ b/internal/connection/httpcall/httpcall.go
@@ -38,7 +38,7 @@
 
 // Client makes calls to any address. It closes a connection on which a call fails. After a
 // call without an answer it closes the idle connections to that address as well, since they
-// may have gone silent together. It is safe for concurrent use.
+// may have gone silent together, unless the peer has reset a new connection. It is safe for concurrent use.
 type Client struct {
 	keepAlive *client.Client
 	oneShot   *client.Client
@@ -85,7 +85,7 @@
 
 func newPool(keepAlive bool, options ...config.ClientOption) (*client.Client, error) {
 	c, err := client.NewClient(append(options,
-		client.WithDialer(standard.NewDialer()),
+		client.WithDialer(dialer{standard.NewDialer()}),
 		client.WithDialTimeout(dialTimeout),
 		client.WithMaxIdleConnDuration(maxIdleTime),
 		client.WithMaxConnsPerHost(maxConnections),
@@ -144,7 +144,8 @@
 	}
 	if err := pool.Do(ctx, req, resp); err != nil {
 		err = classify(err, r.Fresh)
-		if errors.Is(err, ErrNoAnswer) {
+		// A peer that resets new connections has too many, and needs those that it has accepted.
+		if errors.Is(err, ErrNoAnswer) && !errors.Is(err, errNewConnectionReset) {
 			c.closeIdle(r.Addr)
 		}
 		return err
