Stops to a worker that accepts no further connection go between its renewals

Cause: a worker accepts 64 connections, and those of lost owners fill it. Its renewals have one, nearly all the time; each stop opened a new one, which was reset, and was repeated so every 0.4 s.

Change: after a stop without an answer the next ones to that worker are sent one by one between its renewals, which pause for 0.4 s until one was answered. A dispatcher that has ended sends no queued stops any more; the loop of answers still did.

--- a/internal/process/dispatch/flow_test.go
+++ b/internal/process/dispatch/flow_test.go
@@ -53,6 +53,8 @@
 	// not.
 	stopped         map[attemptKey]time.Time
 	unansweredStops int
+	// full workers accept no connection beside one.
+	full map[platform.WorkerID]bool
 	// calls counts the calls under way to each worker, mostCalls is the greatest number to one.
 	calls     map[platform.WorkerID]int
 	mostCalls int
@@ -166,6 +168,11 @@
 	if l.firstStop[key].IsZero() {
 		l.firstStop[key] = time.Now()
 	}
+	if l.full[w.ID] && l.calls[w.ID] > 1 {
+		l.unansweredStops++
+		l.mu.Unlock()
+		return fleet.Answer{}, platform.ErrOutcomeUnknown
+	}
 	l.stopsInFlight[key]++
 	l.maxStops = max(l.maxStops, l.stopsInFlight[key])
 	l.mu.Unlock()
--- a/internal/process/dispatch/orders.go
+++ b/internal/process/dispatch/orders.go
@@ -107,21 +107,24 @@
 	d.sendStops(d.Clock())
 }
 
-// sendStops sends the stop orders for which there is room. The caller holds d.mu.
+// sendStops sends the stop orders for which there is room, none after the dispatcher's end. The
+// caller holds d.mu.
 func (d *Dispatcher) sendStops(now scheduler.Instant) {
+	if d.ctx.Err() != nil {
+		return
+	}
 	for o := d.stops.next(now); o != nil; o = d.stops.next(now) {
 		d.goroutines.Go(func() { d.sendStop(o) })
 	}
 	if until, heldUp := d.stops.heldUpUntil(); heldUp && !d.stopTimer {
 		d.stopTimer = true
 		d.goroutines.Go(func() {
-			// After the dispatcher's end orders are not sent any more.
-			ended := pause.For(d.ctx, until-now) != nil
+			// sendStops sends nothing once the context is done.
+			_ = pause.For(d.ctx, until-now)
 			d.mu.Lock()
 			defer d.mu.Unlock()
-			if d.stopTimer = false; !ended {
-				d.sendStops(d.Clock())
-			}
+			d.stopTimer = false
+			d.sendStops(d.Clock())
 		})
 	}
 }
@@ -140,6 +143,7 @@
 	d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) {
 		if mayAct {
 			d.stops.adjust(now, now-o.sentAt, err == nil)
+			d.stops.noteAnswer(now, o.Worker.ID, err == nil)
 		}
 		d.stops.release(o)
 		d.sendStops(now)
--- a/internal/process/dispatch/renew.go
+++ b/internal/process/dispatch/renew.go
@@ -157,8 +157,9 @@
 // answeredAt, while no job waits for its attempts to end or the link is full. The time since
 // then counts, so that the worker's lists do not grow too old to extend its leases.
 func (d *Dispatcher) pauseBeforeRenewal(id platform.WorkerID, answeredAt scheduler.Instant) {
+	now := d.Clock()
 	d.mu.Lock()
-	wait := max(d.shard.RenewPause(id), d.starts.renewPause(), d.stops.renewPause(id)) - (d.Clock() - answeredAt)
+	wait := max(d.shard.RenewPause(id), d.starts.renewPause(), d.stops.renewPause(now, id)) - (now - answeredAt)
 	d.mu.Unlock()
 	if wait > 0 {
 		// The loop ends with the context.
@@ -192,7 +193,14 @@
 // renewLeases sends one renewal and reports whether the worker accepted it. logFailure
 // says whether to log a failure.
 func (d *Dispatcher) renewLeases(sent scheduler.Instant, w fleet.Worker, o fleet.RenewOrder, logFailure bool) bool {
+	d.mu.Lock()
+	d.stops.beginRenewal(w.ID)
+	d.mu.Unlock()
 	reply, err := d.Workers.Renew(d.ctx, w, o)
+	d.mu.Lock()
+	d.stops.endRenewal(w.ID)
+	d.sendStops(d.Clock())
+	d.mu.Unlock()
 	switch {
 	case reply.Verdict == fleet.RefusedFenced:
 		d.Relinquish(ErrFenced)
--- a/internal/process/dispatch/stops.go
+++ b/internal/process/dispatch/stops.go
@@ -24,6 +24,9 @@
 	// answers are above.
 	quartileRise = 1.02
 	quartileFall = 1 / (1 + 3*(quartileRise-1))
+	// unansweredHold is for how long renewals of a worker pause after an order without an answer:
+	// two repetitions of the order.
+	unansweredHold = time.Second
 )
 
 // stopQueue holds the stop orders of a shard. Jobs, users and faults can make their number as large
@@ -51,10 +54,16 @@
 	lag time.Duration
 	// shrunkAt is when the window last shrank.
 	shrunkAt scheduler.Instant
+	// unansweredAt is when an order to a worker last got no answer. Such a worker may accept no
+	// connection but that of its renewals, so its orders go out one by one between them.
+	unansweredAt map[platform.WorkerID]scheduler.Instant
+	// renewing are the workers with a renewal under way.
+	renewing map[platform.WorkerID]bool
 }
 
 // workerStops are the stop orders to one worker.
 type workerStops struct {
+	id      platform.WorkerID
 	waiting []*stopOrder
 	// inFlight counts the orders that wait for their answers, limit bounds it.
 	inFlight, limit int
@@ -69,14 +78,14 @@
 }
 
 func newStopQueue() stopQueue {
-	return stopQueue{size: minStopWindow, workers: map[platform.WorkerID]*workerStops{}}
+	return stopQueue{size: minStopWindow, workers: map[platform.WorkerID]*workerStops{}, unansweredAt: map[platform.WorkerID]scheduler.Instant{}, renewing: map[platform.WorkerID]bool{}}
 }
 
 // add queues an order that was planned at the given time.
 func (q *stopQueue) add(planned scheduler.Instant, a scheduler.StopAction) {
 	w := q.workers[a.Worker.ID]
 	if w == nil {
-		w = &workerStops{limit: maxOrdersPerWorker}
+		w = &workerStops{id: a.Worker.ID, limit: maxOrdersPerWorker}
 		q.workers[a.Worker.ID] = w
 	}
 	if q.waiting+q.inFlight == 0 {
@@ -92,21 +101,41 @@
 
 // takeTurn lets a worker take turns if it has an order and a place for it.
 func (q *stopQueue) takeTurn(w *workerStops) {
-	if !w.inTurns && len(w.waiting) > 0 && w.inFlight < w.limit {
+	if !w.inTurns && len(w.waiting) > 0 && q.hasRoom(w) {
 		w.inTurns = true
 		q.turns = append(q.turns, w)
 	}
 }
 
+// hasRoom reports whether one more order may be sent to a worker.
+func (q *stopQueue) hasRoom(w *workerStops) bool {
+	if _, unanswered := q.unansweredAt[w.id]; unanswered {
+		return w.inFlight == 0 && !q.renewing[w.id]
+	}
+	return w.inFlight < w.limit
+}
+
+// beginRenewal takes in that a renewal of a worker is sent.
+func (q *stopQueue) beginRenewal(id platform.WorkerID) { q.renewing[id] = true }
+
+// endRenewal takes in that a renewal of a worker has ended.
+func (q *stopQueue) endRenewal(id platform.WorkerID) {
+	delete(q.renewing, id)
+	if w := q.workers[id]; w != nil {
+		q.takeTurn(w)
+	}
+}
+
 // next returns the next order to send now, or nil if there is none or no room for it.
 func (q *stopQueue) next(now scheduler.Instant) *stopOrder {
 	q.leaveOverdue(now)
+	for len(q.turns) > 0 && !q.hasRoom(q.turns[0]) {
+		q.endTurn()
+	}
 	if len(q.turns) == 0 || q.counted >= int(q.size) {
 		return nil
 	}
-	w := q.turns[0]
-	q.turns = q.turns[1:]
-	w.inTurns = false
+	w := q.endTurn()
 	o := w.waiting[0]
 	w.waiting[0] = nil
 	w.waiting = w.waiting[1:]
@@ -120,6 +149,14 @@
 	return o
 }
 
+// endTurn ends the first turn.
+func (q *stopQueue) endTurn() *workerStops {
+	w := q.turns[0]
+	q.turns = q.turns[1:]
+	w.inTurns = false
+	return w
+}
+
 // overdueAfter is how long an order takes up room in the window. On a full link the window keeps
 // answers faster than that.
 func (q *stopQueue) overdueAfter() time.Duration { return shrinkAbove + q.easyAnswer }
@@ -192,10 +229,25 @@
 	q.easyAnswer = min(q.easyAnswer, q.answerTime)
 }
 
+// noteAnswer takes in whether a worker has answered an order.
+func (q *stopQueue) noteAnswer(now scheduler.Instant, id platform.WorkerID, answered bool) {
+	if answered {
+		delete(q.unansweredAt, id)
+	} else {
+		q.unansweredAt[id] = now
+	}
+}
+
 // renewPause returns how long to wait between two renewals of a worker to which many stop orders
 // wait: it lists all that it runs at each end, which takes the room and the processor time of the
-// orders.
-func (q *stopQueue) renewPause(id platform.WorkerID) time.Duration {
+// orders. In the pause of one that has not answered an order, the repeated order is sent.
+func (q *stopQueue) renewPause(now scheduler.Instant, id platform.WorkerID) time.Duration {
+	if at, unanswered := q.unansweredAt[id]; unanswered {
+		if now-at < unansweredHold || q.workers[id] != nil {
+			return maxRenewPause
+		}
+		delete(q.unansweredAt, id)
+	}
 	if w := q.workers[id]; w == nil || w.limit < maxStopsPerWorker || len(w.waiting) == 0 {
 		return 0
 	}
--- a/internal/process/dispatch/stops_test.go
+++ b/internal/process/dispatch/stops_test.go
@@ -187,3 +187,24 @@
 		must.GreaterEq(t, int(watched/(longestWait+roundTrip)), l.renewals[workerID(1)]-before)
 	})
 }
+
+// TestStopsNeverReachFullWorker guards against tasks that run on after a cancel on a worker that
+// accepts no further connection: its renewals took the only one all the time.
+func TestStopsNeverReachFullWorker(t *testing.T) {
+	l := newLinkedWorkers(0)
+	withLinkedWorkers(t, l, 4, func(d *Dispatcher) {
+		e := entry(firstJob, 20)
+		d.AddJobs([]job.Entry{e, entry(secondJob, 4)})
+		time.Sleep(3 * time.Second)
+		l.mu.Lock()
+		must.Eq(t, 24, l.accepted)
+		l.full = map[platform.WorkerID]bool{workerID(0): true, workerID(1): true}
+		l.mu.Unlock()
+		cancelJob(d, e)
+		time.Sleep(cancelTime)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		must.Positive(t, l.unansweredStops)
+		must.MapLen(t, 20, l.stopped)
+	})
+}
