The last line of a job tells how its tasks were served

Lines about single tasks are bounded at 300 a second an event. Line 7112 now has the job's tasks and starts, the wait of the first one and the longest, and the stops with the time that those attempts had run, all for the owner that writes it. No decision reads any of this.

--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -35,7 +35,9 @@
 	for _, note := range n.JobsEnded {
 		d.counter("jobs." + note.State.String()).Inc(1)
 		event.JobEnded.Log(d.Logger, logrus.Fields{
-			"job": note.Job, "state": note.State.String(), "took_ms": note.TookMS, "objective_ms": note.ObjectiveMS,
+			"job": note.Job, "state": note.State.String(), "took_ms": note.TookMS, "objective_ms": note.ObjectiveMS, "tasks": note.Tasks,
+			"starts": note.Starts, "first_start_ms": note.FirstStart.Milliseconds(), "longest_wait_ms": note.LongestWait.Milliseconds(),
+			"stops": note.Stops, "stopped_ran_ms": note.StoppedRan.Milliseconds(),
 		})
 	}
 	d.reportProblems(n)
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -14,26 +14,29 @@
 // reportSubmission logs and counts the outcome of a job's submission.
 func (n *Node) reportSubmission(id job.ID, s *job.Submission, elapsed time.Duration, err error) {
 	var refused *RefusedError
+	tasks := s.Spec.OccurrenceCount() * s.Spec.TasksPerOccurrence()
 	switch {
 	case err == nil:
 		metrics.GetOrRegisterTimer("job.accepted", n.Metrics).Update(elapsed)
 		event.JobAccepted.Log(n.Logger, logrus.Fields{
-			"job": id, "queue": s.Queue, "tasks": s.Spec.OccurrenceCount() * s.Spec.TasksPerOccurrence(), "took_ms": elapsed.Milliseconds(),
+			"job": id, "queue": s.Queue, "tasks": tasks, "took_ms": elapsed.Milliseconds(),
 			"endless": s.Spec.LongRunning(),
 		})
 	case OutcomeUnknown(err):
 		n.count("jobs.outcome_open")
-		event.JobOutcomeUnknown.Log(n.Logger, logrus.Fields{"job": id, "took_ms": elapsed.Milliseconds(), "error": err})
+		event.JobOutcomeUnknown.Log(n.Logger, logrus.Fields{
+			"job": id, "queue": s.Queue, "tasks": tasks, "took_ms": elapsed.Milliseconds(), "error": err,
+		})
 	case errors.As(err, &refused):
 		n.count("jobs.refused_" + strings.ReplaceAll(refused.Reason, " ", "_"))
 		event.JobRefused.Log(n.Logger, logrus.Fields{
-			"job": id, "queue": s.Queue, "reason": refused.Reason, "wait_ms": refused.Wait.Milliseconds(),
+			"job": id, "queue": s.Queue, "tasks": tasks, "reason": refused.Reason, "wait_ms": refused.Wait.Milliseconds(),
 			"slack_ms": refused.Slack.Milliseconds(), "retry_after_ms": refused.RetryAfter.Milliseconds(),
 		})
 	default:
 		n.count("jobs.refused_store_unavailable")
 		event.JobRefused.Log(n.Logger, logrus.Fields{
-			"job": id, "queue": s.Queue, "reason": err.Error(), "store_away_ms": n.Outage().Milliseconds(),
+			"job": id, "queue": s.Queue, "tasks": tasks, "reason": err.Error(), "store_away_ms": n.Outage().Milliseconds(),
 		})
 	}
 }
--- a/internal/program/scheduler.go
+++ b/internal/program/scheduler.go
@@ -43,7 +43,7 @@
 	}
 	logger, logWriter := run.NewRateLimitedLogger(out, s.LogLevel)
 	defer logWriter.Close()
-	event.ProcessStarted.Log(logger, logrus.Fields{"program": name, "version": run.Version, "host": s.Host})
+	event.ProcessStarted.Log(logger, logrus.Fields{"program": name, "version": run.Version, "host": s.Host, "failure_domain": s.Domain})
 	p, err := startScheduler(s, logger, logWriter)
 	if err != nil {
 		event.ProcessFailed.Log(logger, logrus.Fields{"error": err})
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -46,6 +46,7 @@
 	idleSince    Instant
 	// beforeTakeover is set for jobs that an earlier owner may have worked on.
 	beforeTakeover bool
+	stats          JobStats
 }
 
 // stepRun is a step of one occurrence.
@@ -291,7 +292,10 @@
 // endJob sets a job's final state and stops its attempts.
 func (s *Shard) endJob(now Instant, j *jobState, state job.State) {
 	j.progress.State = state
-	j.endNote = &JobEndedNote{Job: j.id, State: state, TookMS: s.nowMS - j.acceptedMS, ObjectiveMS: j.objectiveMS()}
+	j.endNote = &JobEndedNote{
+		Job: j.id, State: state, TookMS: s.nowMS - j.acceptedMS, ObjectiveMS: j.objectiveMS(),
+		Tasks: j.sub.Spec.OccurrenceCount() * j.sub.Spec.TasksPerOccurrence(), JobStats: j.stats,
+	}
 	s.journal.markDirty(j)
 	for _, r := range j.allSteps() {
 		r.startable = nil
--- a/internal/scheduler/notes.go
+++ b/internal/scheduler/notes.go
@@ -91,6 +91,9 @@
 	// TookMS and the latency objective count from the job's acceptance; the objective
 	// is based on the caller's estimates.
 	TookMS, ObjectiveMS int64
+	// Tasks counts the tasks of all steps and occurrences.
+	Tasks int
+	JobStats
 }
 
 // ThrottledNote says that a task's CPU limit was changed. Percent is relative to its
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -101,6 +101,7 @@
 		if a.phase == starting {
 			a.phase, a.confirmedAt, a.startedAt = running, now, now
 			s.markStarted(a.task.step.job)
+			a.task.step.job.stats.addStart(a.orderedAt - a.task.queuedAt)
 			s.notes.Started = append(s.notes.Started, StartedNote{
 				Task: a.ref, Attempt: a.number, Worker: a.worker.info.ID, Waited: a.orderedAt - a.task.queuedAt, Answer: now - a.orderedAt,
 			})
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -91,7 +91,12 @@
 	}
 	note := EndedNote{Task: e.Task, Attempt: e.Attempt, Worker: w.info.ID, Kind: e.Kind}
 	if a != nil {
-		note.Ran = a.endedBy(now) - a.startedAt
+		if a.startedAt != 0 {
+			note.Ran = a.endedBy(now) - a.startedAt
+		}
+		if e.Kind == fleet.EndStopped && t != nil && !t.step.job.ended() {
+			t.step.job.stats.addStop(note.Ran)
+		}
 		w.ended.through = max(w.ended.through, a.unendedAt)
 		s.learnLength(a, e.Kind, note.Ran)
 		s.updateWorkerHealth(now, a, e.Kind)
