siskinctl waits: how jobs of each size were served

From the logs of any hosts it prints, for each queue and size of jobs and for each failure domain of callers: refused and returned, late, waits for the first start and the longest, stops; besides refusals with the times that callers were told, reasons for waits, and stops. Lines of merged logs may have the host before the JSON object, which trace and losses read as well now.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -84,6 +84,7 @@
 		{"explain", "say why a task is where it is", &explainCommand{cli: c}},
 		{"losses", "show where jobs went that were not served in time, from the logs of any hosts", &lossesCommand{cli: c}},
 		{"trace", "show the life of a job from the logs of any hosts", &traceCommand{cli: c}},
+		{"waits", "show how long jobs of each size wait, and which are refused, from the logs of any hosts", &waitsCommand{cli: c}},
 	}
 }
 
--- a/internal/ctl/history/history.go
+++ b/internal/ctl/history/history.go
@@ -50,17 +50,26 @@
 // maxLineBytes bounds a log line. Lines of siskinvane's programs are below 2 KiB.
 const maxLineBytes = 1 << 20
 
-// AddLog reads one log. source names the log in the result.
+// AddLog reads one log. source names the log in the result, see forEachLine.
 func (h *History) AddLog(source string, in io.Reader) error {
-	return forEachLine(source, in, func(text []byte) { h.addLine(source, text) })
+	return forEachLine(source, in, h.addLine)
 }
 
-// forEachLine calls visit with each line of a log. visit must not retain the slice.
-func forEachLine(source string, in io.Reader, visit func(text []byte)) error {
+// forEachLine calls visit with each line of a log. visit must not retain the slice. Where the
+// logs of several hosts were merged, each line has its host before the JSON object, as the
+// last word of a prefix; it replaces source for this line.
+func forEachLine(source string, in io.Reader, visit func(source string, text []byte)) error {
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
-		visit(scanner.Bytes())
+		text, lineSource := scanner.Bytes(), source
+		if start := bytes.IndexByte(text, '{'); start > 0 {
+			if words := bytes.Fields(text[:start]); len(words) > 0 {
+				lineSource = string(words[len(words)-1])
+			}
+			text = text[start:]
+		}
+		visit(lineSource, text)
 	}
 	if err := scanner.Err(); err != nil {
 		return fmt.Errorf("read log %s: %w", source, err)
--- a/internal/ctl/history/losses.go
+++ b/internal/ctl/history/losses.go
@@ -38,7 +38,7 @@
 
 // AddLog reads one log.
 func (l *Losses) AddLog(source string, in io.Reader) error {
-	return forEachLine(source, in, func(text []byte) {
+	return forEachLine(source, in, func(_ string, text []byte) {
 		var fields map[string]any
 		// A line that can't be decoded is not a log line.
 		if json.Unmarshal(text, &fields) == nil {
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -64,6 +64,33 @@
 	return losses.Print(c.cli.out)
 }
 
+type waitsCommand struct {
+	cli  *cli
+	Args struct {
+		Files []string `positional-arg-name:"FILE" required:"1" description:"logs of any hosts"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute reads the log files; it calls no host.
+func (c *waitsCommand) Execute([]string) error {
+	waits := history.NewWaits()
+	for _, name := range c.Args.Files {
+		if err := readLog(name, waits); err != nil {
+			return &usageError{err}
+		}
+	}
+	if c.cli.JSON {
+		return c.cli.printJSON(struct {
+			Queues   []history.WaitRow    `json:"queues"`
+			Domains  []history.WaitRow    `json:"failure_domains"`
+			Refusals []history.RefusalRow `json:"refusals"`
+			Causes   []history.CauseRow   `json:"causes"`
+			Stops    []history.StopRow    `json:"stops"`
+		}{waits.Rows(), waits.DomainRows(), waits.RefusalRows(), waits.CauseRows(), waits.StopRows()})
+	}
+	return waits.Print(c.cli.out)
+}
+
 // logCollector reads the lines of one log at a time. source names the log.
 type logCollector interface {
 	AddLog(source string, in io.Reader) error
