--- a/internal/ctl/history/waits.go
+++ b/internal/ctl/history/waits.go
@@ -295,8 +295,9 @@
 	// Group is a queue, or a failure domain where jobs were submitted.
 	Group string `json:"group"`
 	// Size is the range of the jobs' numbers of tasks, or empty for jobs of any size.
-	Size    string `json:"size,omitempty"`
-	Endless bool   `json:"endless"`
+	Size string `json:"size,omitempty"`
+	// Endless is set if one of the jobs is long-running.
+	Endless bool `json:"endless"`
 	// Jobs counts the jobs that hosts have decided on, Accepted those that were accepted,
 	// at once or later.
 	Jobs     int `json:"jobs"`
@@ -372,10 +373,10 @@
 }
 
 func newWaitRow(group, size string, jobs []*jobWaits) WaitRow {
-	r := WaitRow{Group: group, Size: size, Jobs: len(jobs), Endless: true}
+	r := WaitRow{Group: group, Size: size, Jobs: len(jobs)}
 	var against, returnAfter, first, longest []float64
 	for _, j := range jobs {
-		r.Endless = r.Endless && j.endless
+		r.Endless = r.Endless || j.endless
 		r.addOutcome(j)
 		if j.state == "done" && j.objectiveMS > 0 {
 			against = append(against, j.tookMS/j.objectiveMS)
