--- a/internal/ctl/history/history_test.go
+++ b/internal/ctl/history/history_test.go
@@ -64,6 +64,20 @@
 `, text)
 }
 
+// TestMergedLogs checks that lines with their host before the JSON object count as lines of that
+// host, as in a file into which the logs of several hosts were merged.
+func TestMergedLogs(t *testing.T) {
+	h := New(testJobID)
+	must.NoError(t, h.AddLog("merged", strings.NewReader(`0.10 host-0 {"event":7001,"job":"`+testJobID+`","time":"2026-02-11T03:18:18.010Z"}
+0.20 host-1 {"event":7004,"job":"`+testJobID+`","time":"2026-02-11T03:18:18.110Z"}
+`)))
+	lines := h.Lines()
+	must.Len(t, 2, lines)
+	must.Eq(t, "host-0", lines[0].Source)
+	must.Eq(t, "host-1", lines[1].Source)
+	must.Zero(t, h.UnreadableLines)
+}
+
 func TestEndlessJob(t *testing.T) {
 	_, text := printHistory(t, strings.Replace(firstHostLog, `"tasks":2`, `"tasks":2,"endless":true`, 1))
 	must.StrContains(t, text, "=> runs until its caller cancels it")
