A new owner leaves room for batch work

What callers saw: around changes of owners at the crest of the load urgent jobs found no room for half a minute and were late by ten times their objective.

Cause: for its first 3 s a new owner accepted all long-running work without looking at room, since it had measured no waits yet. Room needs no measuring.

Change: long-running work is admitted by room from the first moment.

Load replayed: long-running jobs come faster than others are cancelled, across four changes of owners.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -146,10 +146,7 @@
 		return a
 	}
 	if sub.Spec.LongRunning() {
-		if s.warmingUp(now) {
-			return Admission{Admitted: true}
-		}
-		return s.admitLongRunning(now, sub)
+		return s.admitLongRunning(sub)
 	}
 	a := Admission{Admitted: true, Slack: s.slack(sub)}
 	for i := range sub.Spec.Steps {
@@ -312,8 +309,9 @@
 }
 
 // admitLongRunning accepts long-running work as long as it leaves room for the recent
-// peak of batch work.
-func (s *Shard) admitLongRunning(now Instant, sub *job.Submission) Admission {
+// peak of batch work. A new owner does so too: room is seen at once, only waits take time to
+// measure.
+func (s *Shard) admitLongRunning(sub *job.Submission) Admission {
 	var need int64
 	for i := range sub.Spec.Steps {
 		step := &sub.Spec.Steps[i]
--- a/internal/scheduler/admit_test.go
+++ b/internal/scheduler/admit_test.go
@@ -86,6 +86,23 @@
 	}
 }
 
+// TestNewOwnerFillsWorkersWithWorkWithoutEnd: a new owner accepted all long-running work for 3 s,
+// however full the workers were, so that batch work found no room from then on. The load is
+// long-running jobs that come faster than others are cancelled, across changes of owners.
+func TestNewOwnerFillsWorkersWithWorkWithoutEnd(t *testing.T) {
+	step := fourCores(servingStep(4, "web"))
+	o := newOverload(newHarness(t, 8), 10, step)
+	o.offer(10 * time.Second)
+	must.Positive(t, o.refused)
+	accepted := len(o.accepted)
+	for range 4 {
+		o.succeedOwner()
+		o.offer(2 * time.Second)
+	}
+	must.Eq(t, accepted, len(o.accepted))
+	o.checkViolations()
+}
+
 // TestAcceptedWorkIsLeftWaiting: jobs that had become overdue were not counted by admission, so
 // that they piled up and waited for long after the load, under owners that stay or change and
 // with hosts that store jobs themselves.
