Evacuated failure domains get no start orders

Operators could ask that nothing more is sent to the workers of a zone; the request was read past.

The follower that delivers the declarations delivers the evacuations of the same read. Every host knows them, the owner's shard marks the workers of the domain as not schedulable, and orders planned before are checked again at sending. Unanswered orders are stopped, not repeated. A new owner begins with what its host has read, and where bounds.evacuation_ms is set it starts nothing before it has read anything. Admission counts the workers that are left at once; with none left for a service its jobs are refused.

--- a/internal/experiment/day/day.go
+++ b/internal/experiment/day/day.go
@@ -168,6 +168,7 @@
 	}
 	r := summarize(sim, callers)
 	r.Violations = append(r.Violations, staleDeclarations...)
+	r.Violations = append(r.Violations, sim.evacuations.violations...)
 	r.Waiting, r.WaitingAtEnd, r.LongestWait = waiting.violations, waiting.atEnd, waiting.longest
 	r.WaitingAtFinish = waiting.atFinish
 	r.Faults = faults
--- a/internal/experiment/day/declarations.go
+++ b/internal/experiment/day/declarations.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/store"
 	"github.com/siskinvane/siskinvane/internal/process/keyed"
 	"github.com/siskinvane/siskinvane/internal/process/pause"
@@ -101,29 +105,44 @@
 	return violations
 }
 
-// declarations follows the declarations as one host reads them. It implements queue.Source.
+// declarations follows the declarations and evacuations as one host reads them. It implements
+// queue.Source.
 type declarations struct {
-	follower *keyed.Follower
+	follower  *keyed.Follower
+	evacuated map[platform.FailureDomain]bool
 }
 
 func newDeclarations(view *memstore.View) *declarations {
-	return &declarations{keyed.NewFollower(keyed.FollowerConfig{
+	return &declarations{evacuated: map[platform.FailureDomain]bool{}, follower: keyed.NewFollower(keyed.FollowerConfig{
 		Store: view, Partition: declarationsPartition, Within: declarationsBound,
 	})}
 }
 
 // Next implements queue.Source.
-func (d *declarations) Next(ctx context.Context) (*queue.Config, error) {
+func (d *declarations) Next(ctx context.Context) (queue.Declared, error) {
 	changes, err := d.follower.Next(ctx)
-	if err != nil || len(changes.Records) == 0 {
-		return nil, err
-	}
-	newest := changes.Records[len(changes.Records)-1]
-	version, err := strconv.ParseInt(string(newest.Value), 10, 64)
 	if err != nil {
-		return nil, &queue.UnusableError{Err: err}
+		return queue.Declared{}, err
+	}
+	if changes.All {
+		clear(d.evacuated)
+	}
+	var declared queue.Declared
+	for _, r := range changes.Records {
+		if domain, ok := strings.CutPrefix(r.Key, evacuationPrefix); ok {
+			if delete(d.evacuated, platform.FailureDomain(domain)); len(r.Value) > 0 {
+				d.evacuated[platform.FailureDomain(domain)] = true
+			}
+			continue
+		}
+		version, err := strconv.ParseInt(string(r.Value), 10, 64)
+		if err != nil {
+			return queue.Declared{}, &queue.UnusableError{Err: err}
+		}
+		declared.Config = queue.New(version,
+			[]*queue.Queue{{Name: queueName, Service: service, MaxFailures: 3, Stretch: 2, Target: time.Second}},
+			[]*queue.Service{{Name: service}}, queue.Limits{})
 	}
-	return queue.New(version,
-		[]*queue.Queue{{Name: queueName, Service: service, MaxFailures: 3, Stretch: 2, Target: time.Second}},
-		[]*queue.Service{{Name: service}}, queue.Limits{}), nil
+	declared.Evacuated = slices.Sorted(maps.Keys(d.evacuated))
+	return declared, nil
 }
--- a/internal/experiment/day/faults.go
+++ b/internal/experiment/day/faults.go
@@ -77,6 +77,9 @@
 	// those of all workers in turns for a short time, by unreadable ones and by ones of another
 	// address, and add entries of workers that do not exist.
 	OddEntries Kind = "odd_entries"
+	// Evacuate evacuates the failure domain with the number of the fault's worker, or all, for the
+	// fault's duration.
+	Evacuate Kind = "evacuate"
 )
 
 // randomKinds are the kinds that DrawFaults draws from.
@@ -88,7 +91,7 @@
 // capacityKinds are the kinds that DrawReductions draws from.
 var capacityKinds = []Kind{ShrinkWorker, ShrinkWorkers}
 
-var allKinds = slices.Concat(randomKinds, capacityKinds, []Kind{OddEntries, SlowWorkers}, lossKinds)
+var allKinds = slices.Concat(randomKinds, capacityKinds, []Kind{OddEntries, SlowWorkers, Evacuate}, lossKinds)
 
 // lossKinds are the kinds that act on a share of the workers, or on owners besides.
 var lossKinds = []Kind{AddWorkers, CutWorkers, DarkenWorkers, LoseWorkers, SilenceWorkers, LoseHost, StallHost}
@@ -113,6 +116,8 @@
 	// KeepEntries is set if the entries of workers that darken_workers and lose_workers end stay
 	// in the platform's store.
 	KeepEntries bool `json:"keep_entries,omitempty"`
+	// AllDomains is set if evacuate evacuates all failure domains.
+	AllDomains bool `json:"all_domains,omitempty"`
 }
 
 // maxSlowness bounds Fault.Slowness.
@@ -196,6 +201,9 @@
 	case AddWorkers:
 		sim.addWorkers(len(workers) * f.WorkersPercent / 100)
 		return
+	case Evacuate:
+		sim.evacuate(f, duration)
+		return
 	}
 	sim.disturbance.begin()
 	defer func() { sim.disturbance.end(sim.now()) }()
--- a/internal/experiment/day/link.go
+++ b/internal/experiment/day/link.go
@@ -113,6 +113,7 @@
 	if w.Addr == elsewhere {
 		return fleet.Answer{Verdict: fleet.RefusedOtherRun}, l.awaitAnswer(sent, true)
 	}
+	l.sim.evacuations.checkStart(sent, l.host, w, o)
 	a, answered := l.sim.cluster.Start(l.sim.now(), w.ID, o)
 	return a, l.awaitAnswer(sent, answered)
 }
--- a/internal/experiment/day/simulation.go
+++ b/internal/experiment/day/simulation.go
@@ -37,7 +37,7 @@
 )
 
 var bounds = scheduler.Bounds{
-	MaxLease: 10 * time.Second, StopGrace: time.Second, RemoteFactor: 1.5,
+	MaxLease: 10 * time.Second, StopGrace: time.Second, RemoteFactor: 1.5, Evacuation: evacuationBound,
 }
 
 // machineLease bounds how long machine orders of a previous owner may be in flight.
@@ -60,6 +60,7 @@
 	workers   []platform.WorkerID
 	// declared holds the versions of the declarations.
 	declared    declared
+	evacuations evacuations
 	disturbance disturbance
 	entries     oddEntries
 	// narrowHosts is the number of hosts with a narrow link, the first ones.
@@ -125,7 +126,7 @@
 func workerInfo(i int) fleet.Worker {
 	rack := platform.RackID(fmt.Sprintf("r%d", i/workersPerRack))
 	return fleet.Worker{
-		ID: platform.WorkerID(fmt.Sprintf("w%02d", i)), Service: service, Rack: rack,
+		ID: platform.WorkerID(fmt.Sprintf("w%02d", i)), Service: service, Domain: domainOf(i / workersPerRack), Rack: rack,
 		Addr:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, byte(i + 1)}), 80),
 		Labels:   []string{"a", string(rack)},
 		Capacity: workerCapacity,
--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -89,11 +89,18 @@
 		d.counter("workers.set_aside").Inc(1)
 		event.WorkerSetAside.Log(d.Logger, logrus.Fields{"worker": note.Worker, "reason": note.Reason, "for_ms": note.For.Milliseconds()})
 	}
+	for _, note := range n.Evacuations {
+		e := event.EvacuationObeyed
+		if note.Workers == 0 {
+			e = event.EvacuationNowhere
+		}
+		e.Log(d.Logger, logrus.Fields{"domain": note.Domain, "workers": note.Workers, "running": note.Attempts})
+	}
 	for _, note := range n.Held {
 		d.counter("steps.held").Inc(1)
 		event.StepWaiting.Log(d.Logger, logrus.Fields{
 			"job": note.Job, "occurrence": note.Occurrence, "step": note.Step, "waiting": note.Waiting, "waited_ms": note.Waited.Milliseconds(),
-			"idle_ms": note.Idle.Milliseconds(), "unusable": note.Unusable, "set_aside": note.SetAside, "no_room": note.NoRoom, "unfit": note.Unfit,
+			"idle_ms": note.Idle.Milliseconds(), "evacuated": note.Evacuated, "unusable": note.Unusable, "set_aside": note.SetAside, "no_room": note.NoRoom, "unfit": note.Unfit,
 			"unpermitted": note.Unpermitted, "harmful": note.Harmful, "lacking_headroom": math.Round(note.LackingHeadroom*100) / 100,
 			"occupied": note.Occupied, "unheard": note.Unreconciled,
 			"entries_age_ms": note.EntriesAge.Milliseconds(), "no_order": note.HeldUp, "mostly_free": note.MostlyFree,
@@ -101,11 +108,15 @@
 	}
 }
 
-// reportWaiting updates the gauges of tasks that wait for a worker, by priority.
+// reportWaiting updates the gauges of tasks that wait for a worker, by priority, and of what goes
+// on in evacuated failure domains.
 func (d *Dispatcher) reportWaiting() {
 	d.mu.Lock()
 	tasks := d.shard.Waiting()
+	evacuated, running := d.shard.CountEvacuated()
 	d.mu.Unlock()
+	d.gauge("evacuations.workers").Update(int64(evacuated))
+	d.gauge("evacuations.running").Update(int64(running))
 	for priority := range tasks {
 		if d.waitingGauges[priority] == nil {
 			d.waitingGauges[priority] = metrics.GetOrRegisterGauge(fmt.Sprintf("tasks.waiting_priority_%d", priority), d.Metrics)
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -195,6 +195,18 @@
 	d.updateShard(func(s *scheduler.Shard, _ scheduler.Instant) { s.SetConfig(c) })
 }
 
+// SetEvacuated sets the failure domains whose workers get no start orders.
+func (d *Dispatcher) SetEvacuated(domains []platform.FailureDomain) {
+	d.updateShard(func(s *scheduler.Shard, _ scheduler.Instant) { s.SetEvacuated(domains) })
+}
+
+// Evacuated returns the failure domains whose workers get no start orders, sorted.
+func (d *Dispatcher) Evacuated() []platform.FailureDomain {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.shard.Evacuated()
+}
+
 // DeclaredVersion returns the version of the declarations that applies to the shard, or 0
 // before the first one.
 func (d *Dispatcher) DeclaredVersion() int64 {
@@ -370,6 +382,7 @@
 	ErrNotClaimed   = errors.New("the ownership is not recorded")
 	ErrNotConfirmed = errors.New("the ownership is not confirmed")
 	errNoEntries    = errors.New("no entries of workers could be read")
+	errNoRequests   = errors.New("no evacuations of failure domains could be read")
 	errIsolated     = errors.New("nearly no worker answers")
 	errStaleEntries = errors.New("the workers' entries are too old")
 	errUnrecorded   = errors.New("the store takes no records")
@@ -392,6 +405,8 @@
 	switch {
 	case d.shard.Isolated(now):
 		return errIsolated
+	case !d.shard.EvacuationsKnown():
+		return errNoRequests
 	case !d.shard.CapacitiesKnown(now):
 		return errStaleEntries
 	case d.unrecorded.Load():
@@ -404,7 +419,7 @@
 // unable to start others or to record their ends.
 func (d *Dispatcher) Acts() bool {
 	switch d.Unable() {
-	case nil, errNoEntries, errStaleEntries, errUnrecorded:
+	case nil, errNoEntries, errNoRequests, errStaleEntries, errUnrecorded:
 		return true
 	}
 	return false
--- a/internal/process/event/job.go
+++ b/internal/process/event/job.go
@@ -61,4 +61,10 @@
 	MachinesUnreachable = declare(7403, logrus.WarnLevel, "list of machines not read")
 	WaveUnreadable      = declare(7404, logrus.WarnLevel, "wave unreadable")
 	WaveLate            = declare(7405, logrus.WarnLevel, "wave late")
+
+	EvacuationBegun   = declare(7501, logrus.InfoLevel, "failure domain evacuated")
+	EvacuationEnded   = declare(7502, logrus.InfoLevel, "failure domain taken back")
+	EvacuationObeyed  = declare(7503, logrus.InfoLevel, "evacuation obeyed by the shard's owner")
+	EvacuationNowhere = declare(7504, logrus.WarnLevel, "evacuated failure domain has no workers")
+	EvacuationOdd     = declare(7505, logrus.WarnLevel, "evacuation unreadable")
 )
--- a/internal/process/node/declarations_test.go
+++ b/internal/process/node/declarations_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/process/event"
 	"github.com/siskinvane/siskinvane/internal/version/queue"
 )
@@ -19,17 +20,18 @@
 type scriptedDeclarations chan declarationsReply
 
 type declarationsReply struct {
-	config *queue.Config
-	err    error
+	config    *queue.Config
+	evacuated []platform.FailureDomain
+	err       error
 }
 
 // Next implements queue.Source.
-func (s scriptedDeclarations) Next(ctx context.Context) (*queue.Config, error) {
+func (s scriptedDeclarations) Next(ctx context.Context) (queue.Declared, error) {
 	select {
 	case r := <-s:
-		return r.config, r.err
+		return queue.Declared{Config: r.config, Evacuated: r.evacuated}, r.err
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return queue.Declared{}, ctx.Err()
 	}
 }
 
@@ -76,3 +78,32 @@
 		c.stop(n)
 	})
 }
+
+// TestEvacuationsAreVisible guards against an evacuation that logs and metrics of a host do not show.
+func TestEvacuationsAreVisible(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster()
+		source := make(scriptedDeclarations)
+		logger, hook := logtest.NewNullLogger()
+		c.declarations, c.logger = source, logger
+		n := c.startHost(t, "h1", 1)
+		send := func(domains ...platform.FailureDomain) {
+			source <- declarationsReply{config: version(1), evacuated: domains}
+			synctest.Wait()
+			must.Eq(t, int64(len(domains)), n.Metrics.Get("evacuations.domains").(metrics.Gauge).Value())
+		}
+		send("d1")
+		send("d1")
+		// An unusable version of the declarations does not hide an evacuation.
+		source <- declarationsReply{evacuated: []platform.FailureDomain{"d1", "d2"}, err: &queue.UnusableError{Err: errors.New("bad")}}
+		synctest.Wait()
+		must.Len(t, 2, linesOf(hook, event.EvacuationBegun))
+		send("d2")
+		send()
+		must.Len(t, 2, linesOf(hook, event.EvacuationBegun))
+		ended := linesOf(hook, event.EvacuationEnded)
+		must.Len(t, 2, ended)
+		must.Eq[any](t, platform.FailureDomain("d1"), ended[0]["domain"])
+		c.stop(n)
+	})
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -83,6 +83,9 @@
 	// connection, which must not be one of peers.
 	probes *peer.Client
 	config atomic.Pointer[queue.Config]
+	// evacuated are the failure domains that operators have evacuated, sorted, or nil before they
+	// were read. followDeclarations changes it while it holds applying.
+	evacuated atomic.Pointer[[]platform.FailureDomain]
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -241,12 +244,12 @@
 // declarationsUse is the use of the store for which followDeclarations reports.
 const declarationsUse = "declarations"
 
-// followDeclarations applies each newer version of the declarations and ignores older
-// ones.
+// followDeclarations applies each newer version of the declarations, ignores older ones, and
+// keeps the evacuations up to date.
 func (n *Node) followDeclarations() {
 	for n.ctx.Err() == nil {
 		sent := n.Clock()
-		c, err := n.Declarations.Next(n.ctx)
+		declared, err := n.Declarations.Next(n.ctx)
 		var unusable *queue.UnusableError
 		if err != nil && !errors.As(err, &unusable) {
 			n.storeHealth.reportFailure(declarationsUse, sent, err)
@@ -254,10 +257,11 @@
 			continue
 		}
 		stale := n.storeHealth.reportSuccess(declarationsUse, sent)
+		n.evacuate(declared, stale)
 		if err != nil {
 			event.QueuesRefused.Log(n.Logger, logrus.Fields{"error": err, "version": n.declaredVersion()})
 		}
-		if c != nil && n.putInForce(c) {
+		if c := declared.Config; c != nil && n.putInForce(c) {
 			event.QueuesInForce.Log(n.Logger, logrus.Fields{"version": c.Version, "queues": len(c.Queues), "stale_ms": stale.Milliseconds()})
 		}
 	}
@@ -292,6 +296,7 @@
 	gauges := map[string]func() int64{
 		"declarations.version": n.declaredVersion,
 		"declarations.age_ms":  func() int64 { return n.storeHealth.age(declarationsUse).Milliseconds() },
+		"evacuations.domains":  func() int64 { return int64(len(n.Evacuated())) },
 	}
 	for name, value := range gauges {
 		if err := n.Metrics.Register(name, metrics.NewFunctionalGauge(value)); err != nil {
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -243,7 +243,7 @@
 	}
 }
 
-// handStateTo starts the dispatcher d with the bounds and declarations in force and the
+// handStateTo starts the dispatcher d with the bounds, declarations and evacuations in force and the
 // jobs and workers in the table, and makes it the one that hears of changes. No change is
 // passed on meanwhile, so none is missed. The jobs come before the workers, since tasks of
 // unknown jobs are stopped on workers that answer.
@@ -254,6 +254,9 @@
 	if c := n.Queues(); c != nil {
 		d.SetConfig(c)
 	}
+	if domains := n.evacuated.Load(); domains != nil {
+		d.SetEvacuated(*domains)
+	}
 	d.AddJobs(n.table.All())
 	d.Enroll(n.table.Workers())
 	d.Start()
--- a/internal/process/node/takeover_test.go
+++ b/internal/process/node/takeover_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 	"github.com/sirupsen/logrus"
+	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/fleet"
 	"github.com/siskinvane/siskinvane/internal/platform/store"
 	"github.com/siskinvane/siskinvane/internal/process/keyed"
@@ -20,6 +21,7 @@
 	"github.com/siskinvane/siskinvane/internal/scheduler"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 	"github.com/siskinvane/siskinvane/internal/standin/memstore"
+	"github.com/siskinvane/siskinvane/internal/version/queue"
 )
 
 // takeoverFixture is a node without background loops, which takes over the shard only
@@ -150,6 +152,30 @@
 	f.node.background.Wait()
 }
 
+// TestTakeoverMissesNoEvacuation guards against an owner that starts tasks in a domain that was
+// evacuated while its host took the shard over.
+func TestTakeoverMissesNoEvacuation(t *testing.T) {
+	f := newTakeoverFixture(t)
+	n := f.node
+	n.SetBounds(scheduler.Bounds{Evacuation: time.Second})
+	f.deliver = func(i int) {
+		// An evacuation that comes later would hide that one was missed.
+		if i < 3 {
+			n.evacuate(queue.Declared{Evacuated: []platform.FailureDomain{platform.FailureDomain(fmt.Sprint("d", i))}}, 0)
+		}
+	}
+	f.open.Store(true)
+	must.NoError(t, n.takeOver(1))
+	f.open.Store(false)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return !f.arriving.Load() })))
+	d := n.ownedDispatcher()
+	must.Len(t, 1, n.Evacuated())
+	must.Eq(t, n.Evacuated(), d.Evacuated())
+	n.cancel()
+	d.Abort()
+	n.background.Wait()
+}
+
 // TestTakeoverMissesNoBounds guards against an owner with the bounds from before.
 func TestTakeoverMissesNoBounds(t *testing.T) {
 	f := newTakeoverFixture(t)
--- a/internal/process/node/write_test.go
+++ b/internal/process/node/write_test.go
@@ -40,13 +40,13 @@
 type staticDeclarations struct{ delivered bool }
 
 // Next implements queue.Source.
-func (s *staticDeclarations) Next(ctx context.Context) (*queue.Config, error) {
+func (s *staticDeclarations) Next(ctx context.Context) (queue.Declared, error) {
 	if !s.delivered {
 		s.delivered = true
-		return queue.New(1, []*queue.Queue{{Name: "q", Host: "h", Prefix: "/p/", Service: "s"}}, nil, queue.Limits{}), nil
+		return queue.Declared{Config: queue.New(1, []*queue.Queue{{Name: "q", Host: "h", Prefix: "/p/", Service: "s"}}, nil, queue.Limits{})}, nil
 	}
 	<-ctx.Done()
-	return nil, ctx.Err()
+	return queue.Declared{}, ctx.Err()
 }
 
 // testCluster starts hosts that share a store and a network and have no workers.
--- a/internal/process/settings/scheduler.go
+++ b/internal/process/settings/scheduler.go
@@ -47,6 +47,9 @@
 	// DeclarationsMS is the time within which a version of the declarations has to be in
 	// force after its acknowledgement, in milliseconds. Zero means two seconds.
 	DeclarationsMS int64 `json:"declarations_ms,omitempty"`
+	// EvacuationMS is how soon after its acknowledgement an evacuation of a failure domain has
+	// to be obeyed, in milliseconds. Zero means that operators evacuate none.
+	EvacuationMS int64 `json:"evacuation_ms,omitempty"`
 	// ShutdownSeconds is the time between the first signal and the end of the process.
 	ShutdownSeconds float64 `json:"shutdown_s"`
 	// RemoteFactor multiplies the duration of a task that runs away from its data.
@@ -68,10 +71,19 @@
 	return Milliseconds(b.DeclarationsMS)
 }
 
+// OperatorsBound returns the time within which everything that operators declare has to be
+// known after its acknowledgement.
+func (b Bounds) OperatorsBound() time.Duration {
+	if b.EvacuationMS == 0 {
+		return b.DeclarationsBound()
+	}
+	return min(b.DeclarationsBound(), Milliseconds(b.EvacuationMS))
+}
+
 // Limits of the settings' values.
 const (
 	maxBoundMS = 3_600_000
-	// minDeclarationsMS keeps the reads of the declarations to ten a second.
+	// minDeclarationsMS keeps the reads of what operators declare to ten a second.
 	minDeclarationsMS   = 200
 	maxShutdownSeconds  = 3600
 	maxRetentionSeconds = 86_400
@@ -112,6 +124,9 @@
 	if s.Bounds.DeclarationsMS != 0 {
 		jsonfield.Range(c, "bounds.declarations_ms", s.Bounds.DeclarationsMS, minDeclarationsMS, maxBoundMS)
 	}
+	if s.Bounds.EvacuationMS != 0 {
+		jsonfield.Range(c, "bounds.evacuation_ms", s.Bounds.EvacuationMS, minDeclarationsMS, maxBoundMS)
+	}
 	jsonfield.Range(c, "bounds.shutdown_s", s.Bounds.ShutdownSeconds, 0, maxShutdownSeconds)
 	jsonfield.Range(c, "bounds.remote_factor", s.Bounds.RemoteFactor, 0, maxRemoteFactor)
 	jsonfield.Range(c, "bounds.retention_s", s.Bounds.RetentionSeconds, 1, maxRetentionSeconds)
--- a/internal/process/settings/scheduler_test.go
+++ b/internal/process/settings/scheduler_test.go
@@ -45,6 +45,7 @@
 		"failure_domain":  {`"catania"`, `""`},
 		"max_lease_ms":    {`"max_lease_ms": 10000`, `"max_lease_ms": 0`},
 		"append_bytes":    {`"append_bytes": 2097152`, `"append_bytes": 100`},
+		"evacuation_ms":   {`"stop_grace_ms"`, `"evacuation_ms": 100, "stop_grace_ms"`},
 		"declarations_ms": {`"stop_grace_ms"`, `"declarations_ms": 100, "stop_grace_ms"`},
 		"link_mbps":       {`"link_mbps": 12.5`, `"link_mbps": -1`},
 		"retention_s":     {`"retention_s": 120`, `"retention_s": 0`},
--- a/internal/program/scheduler.go
+++ b/internal/program/scheduler.go
@@ -112,7 +112,7 @@
 	}
 	p.applySettings(s)
 	operators := platform.OperatorRecords{
-		Store: storeClient, Within: s.Bounds.DeclarationsBound(),
+		Store: storeClient, Within: s.Bounds.OperatorsBound(),
 		OnOverdue: func(p store.Partition, waited time.Duration) {
 			metrics.GetOrRegisterCounter("store.answers_overdue", registry).Inc(1)
 			event.AnswerOverdue.Log(logger, logrus.Fields{"partition": p.String(), "waited_ms": waited.Milliseconds()})
@@ -177,7 +177,7 @@
 func schedulerBounds(s settings.Scheduler) scheduler.Bounds {
 	return scheduler.Bounds{
 		MaxLease: settings.Milliseconds(s.Bounds.MaxLeaseMS), StopGrace: settings.Milliseconds(s.Bounds.StopGraceMS),
-		RemoteFactor: s.Bounds.RemoteFactor,
+		RemoteFactor: s.Bounds.RemoteFactor, Evacuation: settings.Milliseconds(s.Bounds.EvacuationMS),
 	}
 }
 
--- a/internal/request/intake/intake_test.go
+++ b/internal/request/intake/intake_test.go
@@ -54,12 +54,12 @@
 // declarationSource delivers declarations from a channel.
 type declarationSource chan *queue.Config
 
-func (c declarationSource) Next(ctx context.Context) (*queue.Config, error) {
+func (c declarationSource) Next(ctx context.Context) (queue.Declared, error) {
 	select {
 	case config := <-c:
-		return config, nil
+		return queue.Declared{Config: config}, nil
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return queue.Declared{}, ctx.Err()
 	}
 }
 
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -29,6 +29,7 @@
 	reasonRoom      = "no room for work without end"
 	reasonStarts    = "too few start orders can be sent"
 	reasonBacklog   = "too much accepted work is overdue"
+	reasonEvacuated = "all workers of the service are evacuated"
 	reasonDueWork   = "due occurrences of schedules take too much memory"
 )
 
@@ -142,6 +143,9 @@
 	if sub.Spec.Occurrences > 0 {
 		return s.admitSchedule(sub)
 	}
+	if a, refused := s.admitEvacuated(sub); refused {
+		return a
+	}
 	if a := s.admitStarts(now); !a.Admitted {
 		return a
 	}
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -76,6 +76,8 @@
 	// what the log holds, of which ownership is the record of the owner.
 	restartedHosts bool
 	ownership      store.Record
+	// evacuated are the failure domains in which no start may be sent.
+	evacuated []platform.FailureDomain
 }
 
 // unlimitedStarts is more start orders than any test plans.
@@ -100,7 +102,7 @@
 	const perRack = 4
 	rack := platform.RackID(fmt.Sprintf("r%d", i/perRack))
 	return fleet.Worker{
-		ID: platform.WorkerID(fmt.Sprintf("w%02d", i)), Service: service, Rack: rack,
+		ID: platform.WorkerID(fmt.Sprintf("w%02d", i)), Service: service, Rack: rack, Domain: platform.FailureDomain("d" + string(rack[1:])),
 		Addr:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, 0, byte(i)}), 80),
 		Labels:   []string{"a", string(rack)},
 		Capacity: platform.Resources{MilliCPU: 32_000, MemoryMB: 128_000},
@@ -122,6 +124,7 @@
 	h.shard.ClaimRecorded(h.now)
 	h.shard.OwnershipConfirmed(h.now)
 	h.shard.SetConfig(h.config)
+	h.shard.SetEvacuated(h.evacuated)
 	for _, e := range h.enrolled {
 		must.NoError(h.t, h.shard.Enroll(e))
 	}
@@ -175,6 +178,12 @@
 	return scheduler.Predecessors(table.Owners())
 }
 
+// evacuate makes operators evacuate the given failure domains and no others.
+func (h *harness) evacuate(domains ...platform.FailureDomain) {
+	h.evacuated = domains
+	h.shard.SetEvacuated(domains)
+}
+
 // syncWorkers passes the workers' entries to the shard.
 func (h *harness) syncWorkers() {
 	registered := map[platform.WorkerID]bool{}
@@ -281,6 +290,7 @@
 				h.shard.StartAnswered(h.now, start, fleet.Answer{}, errNotSent)
 				continue
 			}
+			must.SliceNotContains(h.t, h.evacuated, start.Worker.Domain, must.Sprintf("start of %v in an evacuated domain", start.Order.Task))
 			answer, answered := h.cluster.Start(h.now, start.Worker.ID, start.Order)
 			if !answered {
 				h.unanswered[fmt.Sprint(start.Order.Task, start.Order.Attempt)] = true
--- a/internal/scheduler/notes.go
+++ b/internal/scheduler/notes.go
@@ -23,6 +23,8 @@
 	Trials    []TrialNote
 	Unheard   []UnheardNote
 	Restarts  []RestartNote
+	// Evacuations are those that the owner has begun to obey.
+	Evacuations []EvacuationNote
 }
 
 // RestartNote says that a worker is in another run than before.
@@ -133,9 +135,10 @@
 	// HeldUp is set if the step was not tried on any worker because no start order was left.
 	HeldUp bool
 	// The following count the registered workers by the first reason for which they cannot
-	// take a task of the step. Unusable ones are silent, leave or are not known well enough,
-	// Occupied ones run another attempt of the task or a task that has just started.
-	Unusable, SetAside, NoRoom, Unfit, Unpermitted, Harmful, Occupied int
+	// take a task of the step. Evacuated ones are in an evacuated failure domain, Unusable ones
+	// are silent, leave or are not known well enough, Occupied ones run another attempt of the
+	// task or a task that has just started.
+	Evacuated, Unusable, SetAside, NoRoom, Unfit, Unpermitted, Harmful, Occupied int
 	// LackingHeadroom is the headroom that is lacking on the least harmed of the Harmful
 	// workers, where 1 is the headroom of a serving task at its target.
 	LackingHeadroom float64
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -43,10 +43,10 @@
 		// would outlive the lease that this and later owners wait for.
 		s.handleRefusedStart(now, a)
 		return StartAction{}, false
-	case a.worker.closed || s.grantableLease(now) <= 0:
+	case a.worker.closed || a.worker.evacuated || s.grantableLease(now) <= 0:
 		s.handleRefusedStart(now, a)
 		return StartAction{}, false
-	case a.worker.entryOutdated() || a.worker.overcommitted() || !s.CapacitiesKnown(now):
+	case a.worker.entryOutdated() || a.worker.overcommitted() || !s.startsAllowed(now):
 		// The worker has restarted or shrunk since the plan, or may have.
 		s.handleRefusedStart(now, a)
 		return StartAction{}, false
@@ -61,15 +61,15 @@
 }
 
 // StartCurrent reports whether a start order from BeginStart may still be sent: its worker
-// cannot have restarted since.
+// cannot have restarted since, and its failure domain is not evacuated.
 func (s *Shard) StartCurrent(now Instant, action StartAction) bool {
 	w, ok := s.workers[action.Worker.ID]
-	return ok && w.run == action.Run && w.runCertain(now)
+	return ok && w.run == action.Run && w.runCertain(now) && !w.evacuated
 }
 
 // ErrWithheld is the error of an order that was not sent because the owner may not act, or
-// because the worker may have restarted.
-var ErrWithheld = errors.New("order withheld: the owner or the run of the worker is not certain")
+// because the worker may have restarted or must get no new tasks any more.
+var ErrWithheld = errors.New("order withheld: the owner or the run of the worker is not certain, or its domain is evacuated")
 
 // StartAnswered handles the answer to a start order. err is nil if the worker answered.
 func (s *Shard) StartAnswered(now Instant, action StartAction, answer fleet.Answer, err error) {
@@ -165,7 +165,7 @@
 		return
 	}
 	a.startTries++
-	if a.startTries < maxStartTries {
+	if a.startTries < maxStartTries && !a.worker.evacuated {
 		s.pending.Starts = append(s.pending.Starts, s.startAction(a))
 		return
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -76,6 +76,7 @@
 		s.forgetEmptied(now)
 		s.updateBatchPeak(now)
 		s.noteUnheard(now)
+		s.noteEvacuations(now)
 		for _, w := range s.workers {
 			s.repeatStops(now, w)
 			s.issueThrottleOrders(now, w)
@@ -213,6 +214,8 @@
 			continue
 		}
 		switch {
+		case w.evacuated:
+			note.Evacuated++
 		case !w.schedulable() || !w.runCertain(p.now):
 			note.Unusable++
 		case !w.health.accepts(p.now, w):
@@ -306,7 +309,7 @@
 
 // workersAside returns the workers of a service that are set aside and may be tried all the same.
 func (p *placement) workersAside(service platform.ServiceName) []*workerState {
-	if !p.shard.CapacitiesKnown(p.now) {
+	if !p.shard.startsAllowed(p.now) {
 		return nil
 	}
 	var list []*workerState
@@ -322,7 +325,7 @@
 // by service and sorted.
 func (p *placement) groupSchedulable(list []*workerState) map[platform.ServiceName][]*workerState {
 	byService := map[platform.ServiceName][]*workerState{}
-	if !p.shard.CapacitiesKnown(p.now) {
+	if !p.shard.startsAllowed(p.now) {
 		return byService
 	}
 	for _, w := range list {
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -36,6 +36,9 @@
 	StopGrace time.Duration
 	// RemoteFactor is the factor by which a task takes longer away from its data.
 	RemoteFactor float64
+	// Evacuation is how soon after its acknowledgement an evacuation has to be obeyed, or zero
+	// where operators evacuate no failure domains.
+	Evacuation time.Duration
 }
 
 // Shard is the state of the jobs and workers that one owner schedules.
@@ -64,6 +67,8 @@
 	periodic map[job.ID]*jobState
 	workers  map[platform.WorkerID]*workerState
 	entries  entries
+	// evacuations are what operators have evacuated.
+	evacuations evacuations
 	// sortedWorkers are the workers sorted by ID.
 	sortedWorkers []*workerState
 	dirty         dirtySet
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -37,6 +37,8 @@
 	// cordoned is set while the worker has to be emptied before the upkeep of its
 	// machine.
 	cordoned bool
+	// evacuated is set while the worker's failure domain is evacuated.
+	evacuated bool
 	// run identifies the worker's current run (its start time); zero until its lists
 	// were read. runSeenAt is when it was first seen, and runBefore is the run before.
 	run, runBefore int64
@@ -151,7 +153,7 @@
 		w.closeRun()
 	}
 	w.info = info
-	w.registered = true
+	w.registered, w.evacuated = true, s.evacuations.include(info.Domain)
 	w.updateDrainEnd(now, info)
 	s.updateColocation(now, w)
 	if restarted {
@@ -288,7 +290,7 @@
 // its free resources are not known.
 func (w *workerState) schedulable() bool {
 	return w.registered && !w.gone && !w.entryOutdated() && w.enrolled && !w.closed && w.reconciled && w.orphans == 0 && w.clock.known && !w.unresponsive() &&
-		!w.info.Draining && !w.cordoned
+		!w.info.Draining && !w.cordoned && !w.evacuated
 }
 
 // entryOutdated reports whether the worker's entry was written by an earlier run, which may
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -199,6 +199,8 @@
 	// mute is set while no order but renewals reaches the worker, silent while it carries out
 	// orders without answering.
 	mute, silent bool
+	// evacuated is set while nothing may be started on the worker.
+	evacuated bool
 	// keepEntry is set if the worker's entry stays while it is down.
 	keepEntry bool
 }
@@ -413,6 +415,13 @@
 	c.workers[id].silent = silent
 }
 
+// SetEvacuated sets whether nothing may be started on a worker: there is no room on it then.
+func (c *Cluster) SetEvacuated(id platform.WorkerID, evacuated bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.workers[id].evacuated = evacuated
+}
+
 // KeepEntry sets whether a worker's entry stays while it is down.
 func (c *Cluster) KeepEntry(id platform.WorkerID, keep bool) {
 	c.mu.Lock()
--- a/internal/standin/cluster/idle.go
+++ b/internal/standin/cluster/idle.go
@@ -73,7 +73,9 @@
 }
 
 // usable reports whether tasks can be started on a worker.
-func (w *worker) usable() bool { return w.up && !w.partitioned && !w.silent && !w.info.Draining }
+func (w *worker) usable() bool {
+	return w.up && !w.partitioned && !w.silent && !w.evacuated && !w.info.Draining
+}
 
 // processorsInUse returns the share of the processors of usable workers that tasks reserve,
 // or zero if there is no such worker.
--- a/internal/version/queue/queue.go
+++ b/internal/version/queue/queue.go
@@ -109,10 +109,22 @@
 // Unwrap returns the error of the decoder.
 func (e *UnusableError) Unwrap() error { return e.Err }
 
-// Source follows the declarations. It is not safe for concurrent use.
+// Declared is what operators have declared.
+type Declared struct {
+	// Config is the newest version of the declarations, or nil if there was no newer one.
+	Config *Config
+	// Evacuated are all failure domains whose workers are to get no new tasks, sorted.
+	Evacuated []platform.FailureDomain
+	// Odd are the errors of evacuations that name no domain, and of those that are obeyed
+	// although the rest of their record cannot be read.
+	Odd []error
+}
+
+// Source follows what operators declare. It is not safe for concurrent use.
 type Source interface {
-	// Next waits a bounded time for a change and returns the newest version, or
-	// nil if there was none. If the newest version cannot be decoded it returns the newest
-	// one that can, if any, and *UnusableError; the next call goes on after both.
-	Next(ctx context.Context) (*Config, error)
+	// Next waits a bounded time for a change and returns what is declared. If the newest
+	// version of the declarations cannot be decoded it returns the newest one that can, if
+	// any, and *UnusableError beside all else; the next call goes on after both. After any
+	// other error nothing was read.
+	Next(ctx context.Context) (Declared, error)
 }
