A partition that the store leaves unanswered is told at once

Cause: the store was silent for the partition of the jobs only and went on answering joins, the one sign of life that counted. The owner's proposals waited for its append, and each calling host then appended by itself: a further open outcome.

Change: every host measures for how long the store has served no read or append of the partition, and reads it every 0.5 s while a call waits. From 1 s on records that are in no append are withdrawn and refused as not run, new ones are refused before anything is appended, and open ones are told as open. The owner says in its answer for how long it has got none; a host believes that only if its own read gets no answer within 0.4 s. The first read that is served also ends calls that wait on connections from before.

TestSilentPartitionHoldsNoCallers (both cases: held for 3 s, want under 1.5 s) and TestRepetitionDuringSilenceIsNotRefused (3 s, want under 0.45 s) fail before; TestHostWritesWhileOwnerAloneIsUnanswered did not end within its time.

--- a/internal/process/node/instrumented.go
+++ b/internal/process/node/instrumented.go
@@ -19,6 +19,9 @@
 	clock   bootclock.Clock
 	// appendTimeout applies to appends only, since every caller of Append retries.
 	appendTimeout adaptiveTimeout
+	// shard observes the calls to the partition of the shard, unless it is nil.
+	shard     *partitionAnswers
+	partition store.Partition
 }
 
 // recordCall updates the metrics with one call. The long-poll time that a read may
@@ -54,10 +57,14 @@
 
 // Append implements store.Store.
 func (s *instrumentedStore) Append(ctx context.Context, p store.Partition, records []store.Record, w *store.Writer) (platform.Offset, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.appendTimeout.next())
-	defer cancel()
 	started := s.clock()
-	offset, err := s.Store.Append(ctx, p, records, w)
+	var offset platform.Offset
+	err := s.observe(ctx, p, func(ctx context.Context) (err error) {
+		ctx, cancel := context.WithTimeout(ctx, s.appendTimeout.next())
+		defer cancel()
+		offset, err = s.Store.Append(ctx, p, records, w)
+		return err
+	})
 	s.recordCall("append", started, 0, err)
 	switch outcomeOf(err) {
 	case "unanswered", "failed":
@@ -72,11 +79,23 @@
 // Read implements store.Store.
 func (s *instrumentedStore) Read(ctx context.Context, p store.Partition, from platform.Offset, wait time.Duration) (store.Page, error) {
 	started := s.clock()
-	page, err := s.Store.Read(ctx, p, from, wait)
+	var page store.Page
+	err := s.observe(ctx, p, func(ctx context.Context) (err error) {
+		page, err = s.Store.Read(ctx, p, from, wait)
+		return err
+	})
 	s.recordCall("read", started, wait, err)
 	return page, err
 }
 
+// observe makes a call to a partition, and has it observed if the partition is the shard's.
+func (s *instrumentedStore) observe(ctx context.Context, p store.Partition, call func(context.Context) error) error {
+	if s.shard == nil || p != s.partition {
+		return call(ctx)
+	}
+	return s.shard.observe(ctx, call)
+}
+
 // Newest implements store.Store.
 func (s *instrumentedStore) Newest(ctx context.Context, p store.Partition, after *string) (store.NewestPage, error) {
 	started := s.clock()
--- a/internal/process/node/jobs.go
+++ b/internal/process/node/jobs.go
@@ -115,7 +115,7 @@
 	if e, ok := n.table.Get(id); ok {
 		return e, nil
 	}
-	if err := n.Refresh(ctx); err != nil {
+	if err := n.refreshForCaller(ctx); err != nil {
 		return job.Entry{}, err
 	}
 	if e, ok := n.table.Get(id); ok {
@@ -124,6 +124,17 @@
 	return job.Entry{}, ErrUnknownJob
 }
 
+// refreshForCaller reads the log to its end, unless the store does not serve its partition.
+func (n *Node) refreshForCaller(ctx context.Context) error {
+	untilAway, stop := n.answers.untilAway(ctx)
+	defer stop()
+	err := n.Refresh(untilAway)
+	if lasted, away := n.answers.away(); away && err != nil {
+		return &AwayError{Lasted: lasted}
+	}
+	return err
+}
+
 // State returns a job's state for callers. It asks the shard's owner about jobs that
 // have not ended.
 func (n *Node) State(ctx context.Context, id job.ID) (job.State, error) {
@@ -151,7 +162,7 @@
 			n.reportOwnerUnreachable("state", err, logrus.Fields{"job": id})
 		}
 	}
-	if err := n.Refresh(ctx); err != nil {
+	if err := n.refreshForCaller(ctx); err != nil {
 		// Answer from what was read earlier; the store outage is logged separately.
 		return e.State(), nil
 	}
@@ -167,7 +178,7 @@
 // start, and returns the error of that read.
 func (n *Node) Pending(ctx context.Context, q queue.Name) (int, error) {
 	if n.SinceCaughtUp() > maxPendingAge {
-		if err := n.Refresh(ctx); err != nil {
+		if err := n.refreshForCaller(ctx); err != nil {
 			return 0, fmt.Errorf("count waiting jobs of queue %s: %w", q, err)
 		}
 	}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -98,6 +98,8 @@
 	// while they were read, which can take several reads. It is not set while a host that
 	// has fallen behind what the log retains loads the table again.
 	loaded atomic.Bool
+	// readTo is the offset up to which the log was last read.
+	readTo atomic.Uint64
 	// readToken holds a token while reader and unreadSince are in use.
 	readToken chan struct{}
 	reader    *keyed.Reader
@@ -108,6 +110,7 @@
 	leaving atomic.Bool
 	direct  directWriter
 	open    *openWrites
+	answers *partitionAnswers
 	// deciding is held while the owner decides on a proposal, until its write is open. It guards
 	// refusals and is acquired before applying.
 	deciding sync.Mutex
@@ -165,12 +168,16 @@
 
 // Start opens the peer server and runs a node in the background.
 func Start(c Config) (*Node, error) {
-	c.Store = &instrumentedStore{Store: c.Store, metrics: c.Metrics, clock: c.Clock}
+	partition := store.Partition{Topic: JobTopic}
+	instrumented := &instrumentedStore{Store: c.Store, metrics: c.Metrics, clock: c.Clock, partition: partition}
+	c.Store = instrumented
 	n := &Node{
-		Config: c, partition: store.Partition{Topic: JobTopic}, table: job.NewTable(), readToken: make(chan struct{}, 1), peers: peer.NewClientOn(c.Network),
+		Config: c, partition: partition, table: job.NewTable(), readToken: make(chan struct{}, 1), peers: peer.NewClientOn(c.Network),
 		probes: peer.NewClientOn(c.Network), watch: ownerWatch{aliveAt: c.Clock()}, handBackAt: c.Clock() - handBackInterval,
 	}
 	n.direct.node = n
+	n.answers = newPartitionAnswers(c.Clock, n.probePartition, n.reportPartition)
+	instrumented.shard = n.answers
 	n.stepAside = make(chan error, 1)
 	n.open = newOpenWrites()
 	n.storeHealth = newStoreHealth(c.Logger, c.Clock)
@@ -292,6 +299,7 @@
 	gauges := map[string]func() int64{
 		"declarations.version": n.declaredVersion,
 		"declarations.age_ms":  func() int64 { return n.storeHealth.age(declarationsUse).Milliseconds() },
+		"store.unserved_ms":    func() int64 { return n.answers.lasts().Milliseconds() },
 	}
 	for name, value := range gauges {
 		if err := n.Metrics.Register(name, metrics.NewFunctionalGauge(value)); err != nil {
@@ -359,6 +367,7 @@
 		}
 		n.applyChanges(changes, n.unreadSince)
 		n.unreadSince = 0
+		n.readTo.Store(uint64(n.reader.Position()))
 		// A load may have begun long before this call, so its end is not that of the log.
 		if !changes.All && n.reader.Position() >= changes.End {
 			n.caughtUpAt.Store(int64(sent))
@@ -478,6 +487,7 @@
 // Stop ends the node. It waits for background work for a bounded time.
 func (n *Node) Stop() {
 	n.cancel()
+	n.answers.close()
 	if d := n.ownedDispatcher(); d != nil {
 		d.Abort()
 	}
--- a/internal/process/node/report.go
+++ b/internal/process/node/report.go
@@ -50,6 +50,17 @@
 	}
 }
 
+// reportPartition logs the beginning and the end of an outage of the shard's partition.
+func (n *Node) reportPartition(away bool, lasted time.Duration) {
+	fields := logrus.Fields{"unserved_ms": lasted.Milliseconds(), "joins_age_ms": n.joinOutage().Milliseconds(), "owner": n.OwnsShard()}
+	if away {
+		n.count("store.partition_lost")
+		event.PartitionLost.Log(n.Logger, fields)
+		return
+	}
+	event.PartitionRegained.Log(n.Logger, fields)
+}
+
 // reportOwnerUnreachable logs that the shard's owner did not answer a call.
 func (n *Node) reportOwnerUnreachable(call string, err error, fields logrus.Fields) {
 	fields["question"], fields["error"] = call, err
--- a/internal/process/node/write.go
+++ b/internal/process/node/write.go
@@ -63,6 +63,9 @@
 	// Unknown is set if the record may be in the log. If neither it nor another of the fields
 	// above is set it is certainly not.
 	Unknown bool
+	// Unserved is for how long the store has not served the owner's calls to the log, if the
+	// proposal failed for that.
+	Unserved time.Duration
 	// Now is the time on the owner's clock, or 0 from an owner of an older version.
 	Now time.Duration
 }
@@ -99,7 +102,7 @@
 		n.open.note(n.Clock(), p.ID)
 	}
 	n.open.begin(p.ID)
-	err = n.appendDirect(ctx, p, unknown || repeated)
+	err = n.appendDirect(ctx, p, unknown || repeated, v.Unserved)
 	n.open.end(n.Clock(), p.ID, OutcomeUnknown(err))
 	return err
 }
@@ -192,8 +195,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
-	err = d.Write(ctx, p.Record)
+	untilAway, stop := n.answers.untilAway(ctx)
+	defer stop()
+	err = d.Write(untilAway, p.Record)
 	v = Verdict{Written: err == nil, Unknown: err != nil && !errors.Is(err, store.ErrUnavailable)}
+	if lasted, away := n.answers.away(); away && err != nil {
+		v.Unserved = lasted
+	}
 	n.open.end(n.Clock(), p.ID, v.Unknown)
 	return v, nil
 }
@@ -209,7 +217,7 @@
 		n.reportLate("propose", p.Term, logrus.Fields{"job": p.ID})
 		return nil, Verdict{}, errNotOwner
 	}
-	if n.Outage() > ownerJoinMaxAge {
+	if n.joinOutage() > ownerJoinMaxAge {
 		return nil, Verdict{}, errNotOwner
 	}
 	if p.Submission != nil {
@@ -220,6 +228,9 @@
 			return nil, Verdict{Refused: &a}, nil
 		}
 	}
+	if lasted, away := n.answers.away(); away {
+		return nil, Verdict{Unknown: n.open.mayBeStored(now, p.ID), Unserved: lasted}, nil
+	}
 	n.open.begin(p.ID)
 	return d, Verdict{}, nil
 }
@@ -248,17 +259,43 @@
 	return cancelled || n.open.mayBeStored(now, id)
 }
 
-// appendDirect appends a record without the owner. While it is unknown whether the
-// record is in the log it retries until ctx is done or the store is known to be away.
-func (n *Node) appendDirect(ctx context.Context, p Proposal, mayBeStored bool) error {
-	if !n.storeAway() {
-		return n.direct.append(ctx, p.Record, mayBeStored)
+// appendDirect appends a record without the owner, whose own calls the store has not served
+// for the given time. While it is unknown whether the record is in the log it retries until
+// ctx is done or the store is known to be away.
+func (n *Node) appendDirect(ctx context.Context, p Proposal, mayBeStored bool, ownerUnserved time.Duration) error {
+	switch {
+	case n.storeAway():
+		return &AwayError{Lasted: n.Outage(), MayBeStored: mayBeStored}
+	case ownerUnserved > 0 && !n.answers.reached(ctx):
+		return &AwayError{Lasted: ownerUnserved, MayBeStored: mayBeStored}
+	}
+	untilAway, stop := n.answers.untilAway(ctx)
+	defer stop()
+	err := n.direct.append(untilAway, p.Record, mayBeStored)
+	if lasted, away := n.answers.away(); away && err != nil && ctx.Err() == nil {
+		return &AwayError{Lasted: lasted, MayBeStored: OutcomeUnknown(err)}
 	}
-	reason := store.ErrUnavailable
-	if mayBeStored {
-		reason = platform.ErrOutcomeUnknown
+	return err
+}
+
+// AwayError reports that the store has not served calls for some time, so that a request was not
+// carried out, unless it may have been before.
+type AwayError struct {
+	Lasted      time.Duration
+	MayBeStored bool
+}
+
+// Error implements error.
+func (e *AwayError) Error() string {
+	return fmt.Sprintf("%v: the store has not answered for %v", e.Unwrap(), e.Lasted.Round(time.Millisecond))
+}
+
+// Unwrap tells whether the outcome is open.
+func (e *AwayError) Unwrap() error {
+	if e.MayBeStored {
+		return platform.ErrOutcomeUnknown
 	}
-	return fmt.Errorf("%w: the store has not answered for %v", reason, n.Outage().Round(time.Millisecond))
+	return store.ErrUnavailable
 }
 
 // outageThreshold is the time without an answer from the store, five joins, after which
@@ -267,10 +304,22 @@
 
 func (n *Node) storeAway() bool { return n.Outage() > outageThreshold }
 
-// Outage returns how long the store has not answered this host. A host that has left the
-// group sends no joins, so its reads of the log count, which begin at least every
+// Outage returns how long the store has not answered this host's joins, or not served its calls
+// to the shard's partition.
+func (n *Node) Outage() time.Duration { return max(n.joinOutage(), n.answers.lasts()) }
+
+// probePartition reads the shard's partition to learn whether the store serves it. What is read
+// is left to the next regular read.
+func (n *Node) probePartition() {
+	if from := n.readTo.Load(); from > 0 {
+		go func() { _, _ = n.Store.Read(n.ctx, n.partition, platform.Offset(from), 0) }()
+	}
+}
+
+// joinOutage returns how long the store has not answered this host's joins. A host that has left
+// the group sends none, so its reads of the log count, which begin at least every
 // followInterval.
-func (n *Node) Outage() time.Duration {
+func (n *Node) joinOutage() time.Duration {
 	if n.leaving.Load() {
 		return max(0, n.SinceCaughtUp()-followInterval)
 	}
--- a/internal/standin/memstore/view.go
+++ b/internal/standin/memstore/view.go
@@ -45,6 +45,8 @@
 	mode    Mode
 	delay   time.Duration
 	appends int
+	// partitionModes holds the faults of single partitions.
+	partitionModes map[store.Partition]Mode
 	// silences counts the changes to Unresponsive. A read that is under way then gets no
 	// reply, like one on a connection that goes silent.
 	silences int
@@ -96,12 +98,42 @@
 	return v.appends
 }
 
+// beginCallOn is like beginCall for a call to a partition, which may have a fault of its own.
+func (v *View) beginCallOn(ctx context.Context, p store.Partition) (Mode, error) {
+	v.mu.Lock()
+	mode, failing := v.partitionModes[p]
+	v.mu.Unlock()
+	if failing {
+		return v.begin(ctx, mode, 0)
+	}
+	return v.beginCall(ctx)
+}
+
+// FailPartition sets the fault of calls to one partition from now on, or ends it if m is Healthy.
+// Joins are not affected.
+func (v *View) FailPartition(p store.Partition, m Mode) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.partitionModes == nil {
+		v.partitionModes = map[store.Partition]Mode{}
+	}
+	v.partitionModes[p] = m
+	if m == Healthy {
+		delete(v.partitionModes, p)
+	}
+}
+
 // beginCall waits for the latency of a call. It returns the current mode, or an error
 // if the call has no effect.
 func (v *View) beginCall(ctx context.Context) (Mode, error) {
 	v.mu.Lock()
 	mode, delay := v.mode, v.delay
 	v.mu.Unlock()
+	return v.begin(ctx, mode, delay)
+}
+
+// begin is beginCall in the given mode.
+func (v *View) begin(ctx context.Context, mode Mode, delay time.Duration) (Mode, error) {
 	switch mode {
 	case Busy:
 		return mode, store.ErrUnavailable
@@ -132,7 +164,7 @@
 	v.mu.Lock()
 	v.appends++
 	v.mu.Unlock()
-	mode, err := v.beginCall(ctx)
+	mode, err := v.beginCallOn(ctx, p)
 	if err != nil {
 		return 0, err
 	}
@@ -181,7 +213,7 @@
 
 // read reads from a store that is not silent.
 func (v *View) read(ctx context.Context, p store.Partition, from platform.Offset, wait time.Duration) (store.Page, error) {
-	mode, err := v.beginCall(ctx)
+	mode, err := v.beginCallOn(ctx, p)
 	if err != nil {
 		return store.Page{}, err
 	}
@@ -207,7 +239,7 @@
 
 // Newest implements store.Store.
 func (v *View) Newest(ctx context.Context, p store.Partition, after *string) (store.NewestPage, error) {
-	mode, err := v.beginCall(ctx)
+	mode, err := v.beginCallOn(ctx, p)
 	if err != nil {
 		return store.NewestPage{}, err
 	}
