Retry-After leaves a refused caller time to be served

What callers saw: during an outage Retry-After was the time that it had lasted, which from its third second on exceeds what a caller with 3 s has left: whoever obeyed did not return, although the store came back within its time.

Change: the delay is a decision of its own (internal/request/intake/retry.go): what is expected, at most the last whole second from which the caller can still be served, and spread over the seconds around the expectation by chance instead of 0 or 1 s on top. What a host expects of an outage comes with the error of the attempt, also if only the owner knew of it.

--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"math/rand/v2"
 	"net/netip"
 	"strconv"
@@ -62,7 +61,9 @@
 	config := s.node.Queues()
 	if config == nil {
 		event.JobRefused.Log(s.logger, logrus.Fields{"path": string(c.Path()), "reason": "no declarations yet"})
-		s.retryLater(c, time.Second)
+		ctx, cancel := context.WithTimeout(ctx, s.timeout(c, nil))
+		defer cancel()
+		s.retryLater(ctx, c, minRetryAfter)
 		return
 	}
 	path := string(c.Path())
@@ -108,33 +109,26 @@
 const defaultTimeout = 3 * time.Second
 
 // timeout returns the time that the request may take: the caller's, bounded by the
-// queue's timeout if there is one.
+// timeout of the queue if there is one. q may be nil.
 func (s *Server) timeout(c *app.RequestContext, q *queue.Queue) time.Duration {
 	timeout := s.codec.RequestTimeout(func(name string) string { return string(c.GetHeader(name)) })
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	if q.Timeout > 0 {
+	if q != nil && q.Timeout > 0 {
 		timeout = min(timeout, q.Timeout)
 	}
 	return timeout
 }
 
-// refuseOverload answers that a job was not accepted. It adds 0 or 1 s at random to
-// Retry-After, to spread the retries of callers over a second.
-func (s *Server) refuseOverload(c *app.RequestContext, r *node.RefusedError) {
-	c.Response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))+rand.IntN(2)))
-	c.SetStatusCode(503)
-}
-
-// maxRetryAfter bounds the Retry-After of an outage.
-const maxRetryAfter = 5 * time.Second
-
-// retryAfter returns the delay after which callers retry during an outage. It equals
-// the time that the outage has lasted, between 1 s and maxRetryAfter, so that it
-// doubles with each retry of a caller.
-func retryAfter(outage time.Duration) time.Duration {
-	return min(maxRetryAfter, max(time.Second, outage))
+// expectedOutage returns how long the store is expected to stay away when an attempt has failed
+// with err: for as long again as it has been.
+func (s *Server) expectedOutage(err error) time.Duration {
+	var away *node.AwayError
+	if errors.As(err, &away) {
+		return away.Lasted
+	}
+	return s.node.Outage()
 }
 
 // refuseInvalid answers that a request is invalid, with err as the body.
@@ -145,19 +139,21 @@
 
 // stateUnavailable answers that the state of a job is not available now, and when to
 // retry.
-func (s *Server) stateUnavailable(c *app.RequestContext, id job.ID, err error) {
+func (s *Server) stateUnavailable(ctx context.Context, c *app.RequestContext, id job.ID, err error) {
 	event.StateUnanswered.Log(s.logger, logrus.Fields{"job": id, "error": err})
-	s.retryLater(c, retryAfter(s.node.Outage()))
+	s.retryLater(ctx, c, s.expectedOutage(err))
 }
 
-// retryLater answers that the request had no effect and can be retried after delay.
-func (s *Server) retryLater(c *app.RequestContext, delay time.Duration) {
-	setRetryAfter(c, delay)
+// retryLater answers that the request had no effect. It can be served after the expected delay.
+func (s *Server) retryLater(ctx context.Context, c *app.RequestContext, expected time.Duration) {
+	setRetryAfter(ctx, c, expected)
 	c.SetStatusCode(503)
 }
 
-func setRetryAfter(c *app.RequestContext, delay time.Duration) {
-	c.Response.Header.Set("Retry-After", strconv.Itoa(int(delay.Round(time.Second)/time.Second)))
+// setRetryAfter tells the caller of a request, which waits until ctx is done, when to return.
+func setRetryAfter(ctx context.Context, c *app.RequestContext, expected time.Duration) {
+	deadline, _ := ctx.Deadline()
+	c.Response.Header.Set("Retry-After", strconv.Itoa(retryAfter(expected, time.Until(deadline), rand.Float64())))
 }
 
 // submit accepts a job. It answers 504 if the outcome is unknown, and 503 if the job was
@@ -177,12 +173,12 @@
 	case err == nil:
 		c.SetStatusCode(200)
 	case node.OutcomeUnknown(err):
-		setRetryAfter(c, retryAfter(s.node.Outage()))
+		setRetryAfter(ctx, c, s.expectedOutage(err))
 		c.SetStatusCode(504)
 	case errors.As(err, &refused):
-		s.refuseOverload(c, refused)
+		s.retryLater(ctx, c, refused.RetryAfter)
 	default:
-		s.retryLater(c, retryAfter(s.node.Outage()))
+		s.retryLater(ctx, c, s.expectedOutage(err))
 	}
 }
 
@@ -190,7 +186,7 @@
 	n, err := s.node.Pending(ctx, q)
 	if err != nil {
 		event.CountUnanswered.Log(s.logger, logrus.Fields{"queue": q, "error": err})
-		s.retryLater(c, retryAfter(s.node.Outage()))
+		s.retryLater(ctx, c, s.expectedOutage(err))
 		return
 	}
 	c.Data(200, contentType, s.codec.EncodePending(n))
@@ -204,7 +200,7 @@
 	case errors.Is(err, node.ErrUnknownJob):
 		c.SetStatusCode(410)
 	default:
-		s.stateUnavailable(c, id, err)
+		s.stateUnavailable(ctx, c, id, err)
 	}
 }
 
@@ -216,6 +212,6 @@
 	case errors.Is(err, node.ErrUnknownJob):
 		c.SetStatusCode(410)
 	default:
-		s.stateUnavailable(c, id, err)
+		s.stateUnavailable(ctx, c, id, err)
 	}
 }
