Hosts that the store turns away find the next owner

Another host took over after 1.1 s, but 34 jobs were refused between 4 and 11 s by hosts that were turned away, while it could store them.

Cause: such a host hands its jobs to the owner, but the record of the next owner lies in the log that it cannot read. It went on asking the earlier one, and so did that host for its own callers.

Change: a new owner tells the earlier owners of itself (Service.Succeeded), and a host that is refused and cannot read the log asks the owners that it knows of for a later one (Service.Successor). What is told only directs proposals: it stays out of the table, whose times bound waits for leases, is dropped when it serves no call, and ends with the log's record.

TestTurnedAwayHostsFindNewOwner (half of the hosts turned away, 20 jobs a second) fails without the calls: "the store has not answered for 1.73s".

--- a/internal/process/event/job.go
+++ b/internal/process/event/job.go
@@ -43,6 +43,7 @@
 	ShardNotTaken     = declare(7213, logrus.WarnLevel, "no host takes the shard over")
 	WorkersUnheard    = declare(7214, logrus.InfoLevel, "workers of earlier owners not heard")
 	WorkerRestarted   = declare(7215, logrus.InfoLevel, "worker restarted")
+	OwnerTold         = declare(7219, logrus.InfoLevel, "shard's owner learned from another host")
 	CallLate          = declare(7218, logrus.InfoLevel, "call of another host came late")
 	RecordNotEncoded  = declare(7204, logrus.ErrorLevel, "record not encoded")
 	RecordRefused     = declare(7217, logrus.ErrorLevel, "record refused")
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -124,6 +124,8 @@
 	// epoch of the latest owner seen that lacks Service.Term.
 	ownerClock    ownerClock
 	termlessOwner atomic.Uint64
+	// toldOwner is the latest owner of which other hosts have told. It may be older than the log's.
+	toldOwner atomic.Pointer[job.Ownership]
 
 	// applying is held while a page is applied to the table and its changes are passed to
 	// the dispatcher: the table reports a change only once, and the dispatcher must hear
--- a/internal/process/node/ownership.go
+++ b/internal/process/node/ownership.go
@@ -193,6 +193,7 @@
 	// A worker that does not answer may have been reached last by any of them.
 	for _, term := range earlier {
 		n.background.Go(func() { n.awaitPredecessorEnd(ownerCtx, d, term) })
+		n.background.Go(func() { n.tellSuccession(ownerCtx, term.Ownership, own) })
 	}
 	n.startUpkeep(ownerCtx, d, previous)
 	n.count("shard.taken_over")
--- a/internal/process/node/write.go
+++ b/internal/process/node/write.go
@@ -77,7 +77,7 @@
 // be.
 func (n *Node) write(ctx context.Context, p Proposal) error {
 	repeated := n.open.mayBeStored(n.Clock(), p.ID)
-	owner := n.table.Owner()
+	owner := n.latestOwner()
 	v, err := n.propose(ctx, owner, p)
 	unknown := errors.Is(err, platform.ErrOutcomeUnknown)
 	// A call without a term may still be carried out, if its owner regains the shard.
@@ -85,7 +85,7 @@
 	if err != nil && n.ownerReplaced(ctx, owner.Epoch) {
 		// The log takes nothing more from the earlier owner, and the new one has read what it
 		// wrote.
-		v, err = n.propose(ctx, n.table.Owner(), p)
+		v, err = n.propose(ctx, n.latestOwner(), p)
 	}
 	switch {
 	case err == nil && v.Written:
@@ -108,22 +108,28 @@
 }
 
 // ownerReplaced reports whether the shard has another owner than that of the given epoch. It
-// reads the log, since hosts may learn of a new owner late.
+// reads the log, since hosts may learn of a new owner late, or asks other hosts if it gets no
+// answer.
 func (n *Node) ownerReplaced(ctx context.Context, epoch platform.Epoch) bool {
-	if n.storeAway() {
-		return false
+	n.forgetTold(epoch)
+	read := !n.storeAway()
+	if read {
+		limited, cancel := context.WithTimeout(ctx, ownerReadTimeout)
+		defer cancel()
+		read = n.Refresh(limited) == nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, ownerReadTimeout)
-	defer cancel()
-	// Without the read, the owner that is known counts.
-	_ = n.Refresh(ctx)
-	return n.ownedDispatcher() != nil || n.table.Owner().Epoch > epoch
+	latest := n.latestOwner().Epoch
+	if owned := n.ownedEpochNow(); owned != 0 && owned >= latest || latest > epoch {
+		return true
+	}
+	return !read && n.askSuccessor(ctx, epoch)
 }
 
 // propose lets the owner write. After an error that matches platform.ErrOutcomeUnknown
 // the record may be in the log.
 func (n *Node) propose(ctx context.Context, owner job.Ownership, p Proposal) (Verdict, error) {
-	if epoch := n.ownedEpochNow(); epoch != 0 {
+	// An owner that cannot read the log may have been told of the next one.
+	if epoch := n.ownedEpochNow(); epoch != 0 && epoch >= owner.Epoch {
 		now := n.Clock()
 		p.Term = Term{Epoch: epoch, Sent: now, Expiry: now + ownerTimeout}
 		return n.decideProposal(ctx, p)
@@ -328,7 +334,7 @@
 
 // notifyOwner sends records that are in the log to the shard's owner.
 func (n *Node) notifyOwner(records []store.Record) {
-	owner := n.table.Owner()
+	owner := n.latestOwner()
 	addr, err := netip.ParseAddrPort(owner.Addr)
 	if err != nil || n.ownedDispatcher() != nil {
 		return
@@ -347,6 +353,6 @@
 
 // owner returns the address of the shard's owner.
 func (n *Node) owner() (netip.AddrPort, bool) {
-	addr, err := netip.ParseAddrPort(n.table.Owner().Addr)
+	addr, err := netip.ParseAddrPort(n.latestOwner().Addr)
 	return addr, err == nil
 }
