--- a/internal/process/node/write.go
+++ b/internal/process/node/write.go
@@ -63,6 +63,9 @@
 	// Unknown is set if the record may be in the log. If neither it nor another of the fields
 	// above is set it is certainly not.
 	Unknown bool
+	// Unserved is for how long the store has not served the owner's calls to the log, if the
+	// proposal failed for that.
+	Unserved time.Duration
 	// Now is the time on the owner's clock, or 0 from an owner of an older version.
 	Now time.Duration
 }
@@ -74,7 +77,7 @@
 // be.
 func (n *Node) write(ctx context.Context, p Proposal) error {
 	repeated := n.open.mayBeStored(n.Clock(), p.ID)
-	owner := n.table.Owner()
+	owner := n.latestOwner()
 	v, err := n.propose(ctx, owner, p)
 	unknown := errors.Is(err, platform.ErrOutcomeUnknown)
 	// A call without a term may still be carried out, if its owner regains the shard.
@@ -82,7 +85,7 @@
 	if err != nil && n.ownerReplaced(ctx, owner.Epoch) {
 		// The log takes nothing more from the earlier owner, and the new one has read what it
 		// wrote.
-		v, err = n.propose(ctx, n.table.Owner(), p)
+		v, err = n.propose(ctx, n.latestOwner(), p)
 	}
 	switch {
 	case err == nil && v.Written:
@@ -99,28 +102,34 @@
 		n.open.note(n.Clock(), p.ID)
 	}
 	n.open.begin(p.ID)
-	err = n.appendDirect(ctx, p, unknown || repeated)
+	err = n.appendDirect(ctx, p, unknown || repeated, v.Unserved)
 	n.open.end(n.Clock(), p.ID, OutcomeUnknown(err))
 	return err
 }
 
 // ownerReplaced reports whether the shard has another owner than that of the given epoch. It
-// reads the log, since hosts may learn of a new owner late.
+// reads the log, since hosts may learn of a new owner late, or asks other hosts if it gets no
+// answer.
 func (n *Node) ownerReplaced(ctx context.Context, epoch platform.Epoch) bool {
-	if n.storeAway() {
-		return false
+	n.forgetTold(epoch)
+	read := !n.storeAway()
+	if read {
+		limited, cancel := context.WithTimeout(ctx, ownerReadTimeout)
+		defer cancel()
+		read = n.Refresh(limited) == nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, ownerReadTimeout)
-	defer cancel()
-	// Without the read, the owner that is known counts.
-	_ = n.Refresh(ctx)
-	return n.ownedDispatcher() != nil || n.table.Owner().Epoch > epoch
+	latest := n.latestOwner().Epoch
+	if owned := n.ownedEpochNow(); owned != 0 && owned >= latest || latest > epoch {
+		return true
+	}
+	return !read && n.askSuccessor(ctx, epoch)
 }
 
 // propose lets the owner write. After an error that matches platform.ErrOutcomeUnknown
 // the record may be in the log.
 func (n *Node) propose(ctx context.Context, owner job.Ownership, p Proposal) (Verdict, error) {
-	if epoch := n.ownedEpochNow(); epoch != 0 {
+	// An owner that cannot read the log may have been told of the next one.
+	if epoch := n.ownedEpochNow(); epoch != 0 && epoch >= owner.Epoch {
 		now := n.Clock()
 		p.Term = Term{Epoch: epoch, Sent: now, Expiry: now + ownerTimeout}
 		return n.decideProposal(ctx, p)
@@ -192,8 +201,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
-	err = d.Write(ctx, p.Record)
+	untilAway, stop := n.answers.untilAway(ctx)
+	defer stop()
+	err = d.Write(untilAway, p.Record)
 	v = Verdict{Written: err == nil, Unknown: err != nil && !errors.Is(err, store.ErrUnavailable)}
+	if lasted, away := n.answers.away(); away && err != nil {
+		v.Unserved = lasted
+	}
 	n.open.end(n.Clock(), p.ID, v.Unknown)
 	return v, nil
 }
@@ -209,7 +223,7 @@
 		n.reportLate("propose", p.Term, logrus.Fields{"job": p.ID})
 		return nil, Verdict{}, errNotOwner
 	}
-	if n.Outage() > ownerJoinMaxAge {
+	if n.joinOutage() > ownerJoinMaxAge {
 		return nil, Verdict{}, errNotOwner
 	}
 	if p.Submission != nil {
@@ -220,6 +234,9 @@
 			return nil, Verdict{Refused: &a}, nil
 		}
 	}
+	if lasted, away := n.answers.away(); away {
+		return nil, Verdict{Unknown: n.open.mayBeStored(now, p.ID), Unserved: lasted}, nil
+	}
 	n.open.begin(p.ID)
 	return d, Verdict{}, nil
 }
@@ -248,17 +265,43 @@
 	return cancelled || n.open.mayBeStored(now, id)
 }
 
-// appendDirect appends a record without the owner. While it is unknown whether the
-// record is in the log it retries until ctx is done or the store is known to be away.
-func (n *Node) appendDirect(ctx context.Context, p Proposal, mayBeStored bool) error {
-	if !n.storeAway() {
-		return n.direct.append(ctx, p.Record, mayBeStored)
+// appendDirect appends a record without the owner, whose own calls the store has not served
+// for the given time. While it is unknown whether the record is in the log it retries until
+// ctx is done or the store is known to be away.
+func (n *Node) appendDirect(ctx context.Context, p Proposal, mayBeStored bool, ownerUnserved time.Duration) error {
+	switch {
+	case n.storeAway():
+		return &AwayError{Lasted: n.Outage(), MayBeStored: mayBeStored}
+	case ownerUnserved > 0 && !n.answers.reached(ctx):
+		return &AwayError{Lasted: ownerUnserved, MayBeStored: mayBeStored}
 	}
-	reason := store.ErrUnavailable
-	if mayBeStored {
-		reason = platform.ErrOutcomeUnknown
+	untilAway, stop := n.answers.untilAway(ctx)
+	defer stop()
+	err := n.direct.append(untilAway, p.Record, mayBeStored)
+	if lasted, away := n.answers.away(); away && err != nil && ctx.Err() == nil {
+		return &AwayError{Lasted: lasted, MayBeStored: OutcomeUnknown(err)}
+	}
+	return err
+}
+
+// AwayError reports that the store has not served calls for some time, so that a request was not
+// carried out, unless it may have been before.
+type AwayError struct {
+	Lasted      time.Duration
+	MayBeStored bool
+}
+
+// Error implements error.
+func (e *AwayError) Error() string {
+	return fmt.Sprintf("%v: the store has not answered for %v", e.Unwrap(), e.Lasted.Round(time.Millisecond))
+}
+
+// Unwrap tells whether the outcome is open.
+func (e *AwayError) Unwrap() error {
+	if e.MayBeStored {
+		return platform.ErrOutcomeUnknown
 	}
-	return fmt.Errorf("%w: the store has not answered for %v", reason, n.Outage().Round(time.Millisecond))
+	return store.ErrUnavailable
 }
 
 // outageThreshold is the time without an answer from the store, five joins, after which
@@ -267,10 +310,22 @@
 
 func (n *Node) storeAway() bool { return n.Outage() > outageThreshold }
 
-// Outage returns how long the store has not answered this host. A host that has left the
-// group sends no joins, so its reads of the log count, which begin at least every
+// Outage returns how long the store has not answered this host's joins, or not served its calls
+// to the shard's partition.
+func (n *Node) Outage() time.Duration { return max(n.joinOutage(), n.answers.lasts()) }
+
+// probePartition reads the shard's partition to learn whether the store serves it. What is read
+// is left to the next regular read.
+func (n *Node) probePartition() {
+	if from := n.readTo.Load(); from > 0 {
+		go func() { _, _ = n.Store.Read(n.ctx, n.partition, platform.Offset(from), 0) }()
+	}
+}
+
+// joinOutage returns how long the store has not answered this host's joins. A host that has left
+// the group sends none, so its reads of the log count, which begin at least every
 // followInterval.
-func (n *Node) Outage() time.Duration {
+func (n *Node) joinOutage() time.Duration {
 	if n.leaving.Load() {
 		return max(0, n.SinceCaughtUp()-followInterval)
 	}
@@ -279,7 +334,7 @@
 
 // notifyOwner sends records that are in the log to the shard's owner.
 func (n *Node) notifyOwner(records []store.Record) {
-	owner := n.table.Owner()
+	owner := n.latestOwner()
 	addr, err := netip.ParseAddrPort(owner.Addr)
 	if err != nil || n.ownedDispatcher() != nil {
 		return
@@ -298,6 +353,6 @@
 
 // owner returns the address of the shard's owner.
 func (n *Node) owner() (netip.AddrPort, bool) {
-	addr, err := netip.ParseAddrPort(n.table.Owner().Addr)
+	addr, err := netip.ParseAddrPort(n.latestOwner().Addr)
 	return addr, err == nil
 }
