--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -5,6 +5,7 @@
 	"sort"
 	"text/tabwriter"
 
+	"github.com/siskinvane/siskinvane/internal/process/node"
 	"github.com/siskinvane/siskinvane/internal/process/placer"
 )
 
@@ -12,10 +13,15 @@
 
 type statusCommand struct {
 	cli *cli
+
+	Scheduler bool `long:"scheduler" description:"the host runs siskin-scheduler, and --control is the address of its metrics"`
 }
 
 // Execute implements flags.Commander.
 func (s *statusCommand) Execute([]string) error {
+	if s.Scheduler {
+		return s.showHost()
+	}
 	status, err := s.cli.status()
 	if err != nil {
 		return err
@@ -31,6 +37,29 @@
 	return w.Flush()
 }
 
+// showHost prints the status of a host that runs siskin-scheduler.
+func (s *statusCommand) showHost() error {
+	var host node.Status
+	if err := s.cli.call("GET", node.PathStatus, nil, &host); err != nil {
+		return err
+	}
+	if s.cli.JSON {
+		return s.cli.printJSON(host)
+	}
+	w := tabwriter.NewWriter(s.cli.out, 0, 0, tablePadding, ' ', 0)
+	fmt.Fprintln(w, "HOST\tOWNER\tDECLARATIONS\tREAD")
+	fmt.Fprintf(w, "%s\t%v\t%d\t%d ms ago\n", host.Host, host.Owner, host.Declarations, host.DeclarationsAgeMS)
+	fmt.Fprintln(w, "\nEVACUATED FAILURE DOMAIN\tWORKERS\tRUNNING")
+	for _, e := range host.Evacuated {
+		if host.Owner {
+			fmt.Fprintf(w, "%s\t%d\t%d\n", e.Domain, e.Workers, e.Running)
+		} else {
+			fmt.Fprintf(w, "%s\t?\t?\n", e.Domain)
+		}
+	}
+	return w.Flush()
+}
+
 func writeHosts(w *tabwriter.Writer, s placer.Status) {
 	fmt.Fprintln(w, "\nHOST\tFAILURE DOMAIN\tVERSION\tSHARDS\tSTATE")
 	for _, m := range s.Members {
--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -113,9 +113,14 @@
 func (d *Dispatcher) reportWaiting() {
 	d.mu.Lock()
 	tasks := d.shard.Waiting()
-	evacuated, running := d.shard.CountEvacuated()
+	evacuations := d.shard.Evacuations()
 	d.mu.Unlock()
-	d.gauge("evacuations.workers").Update(int64(evacuated))
+	workers, running := 0, 0
+	for _, e := range evacuations {
+		workers += e.Workers
+		running += e.Attempts
+	}
+	d.gauge("evacuations.workers").Update(int64(workers))
 	d.gauge("evacuations.running").Update(int64(running))
 	for priority := range tasks {
 		if d.waitingGauges[priority] == nil {
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -200,11 +200,11 @@
 	d.updateShard(func(s *scheduler.Shard, _ scheduler.Instant) { s.SetEvacuated(domains) })
 }
 
-// Evacuated returns the failure domains whose workers get no start orders, sorted.
-func (d *Dispatcher) Evacuated() []platform.FailureDomain {
+// Evacuations returns the failure domains whose workers get no start orders, sorted by name.
+func (d *Dispatcher) Evacuations() []scheduler.Evacuation {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.shard.Evacuated()
+	return d.shard.Evacuations()
 }
 
 // DeclaredVersion returns the version of the declarations that applies to the shard, or 0
--- a/internal/process/node/takeover_test.go
+++ b/internal/process/node/takeover_test.go
@@ -168,11 +168,12 @@
 	must.NoError(t, n.takeOver(1))
 	f.open.Store(false)
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return !f.arriving.Load() })))
-	d := n.ownedDispatcher()
-	must.Len(t, 1, n.Evacuated())
-	must.Eq(t, n.Evacuated(), d.Evacuated())
+	s := n.Status()
+	must.True(t, s.Owner)
+	must.Len(t, 1, s.Evacuated)
+	must.Eq(t, n.Evacuated()[0], s.Evacuated[0].Domain)
 	n.cancel()
-	d.Abort()
+	n.ownedDispatcher().Abort()
 	n.background.Wait()
 }
 
--- a/internal/program/scheduler.go
+++ b/internal/program/scheduler.go
@@ -138,20 +138,21 @@
 		return nil, err
 	}
 	if s.Metrics.IsValid() {
-		if p.metrics, err = serveMetrics(s.Metrics, registry); err != nil {
+		if p.metrics, err = serveMetrics(s.Metrics, registry, n); err != nil {
 			return nil, err
 		}
 	}
 	return p, nil
 }
 
-// serveMetrics serves the metrics of registry at addr.
-func serveMetrics(addr netip.AddrPort, registry metrics.Registry) (*web.Server, error) {
+// serveMetrics serves the metrics of registry and the status of n at addr.
+func serveMetrics(addr netip.AddrPort, registry metrics.Registry, n *node.Node) (*web.Server, error) {
 	w, err := web.Listen(addr)
 	if err != nil {
 		return nil, err
 	}
 	w.GET(telemetry.PathMetrics, telemetry.Handler(registry))
+	w.GET(node.PathStatus, func(_ context.Context, c *app.RequestContext) { web.WriteJSON(c, n.Status()) })
 	w.Start()
 	return w, nil
 }
--- a/internal/scheduler/evacuation.go
+++ b/internal/scheduler/evacuation.go
@@ -25,8 +25,8 @@
 	return e.domains[domain] || domain == "" && len(e.domains) > 0
 }
 
-// EvacuationNote says that the owner obeys an evacuation.
-type EvacuationNote struct {
+// Evacuation is an evacuated failure domain.
+type Evacuation struct {
 	Domain platform.FailureDomain
 	// Workers counts the workers of the domain, Attempts what may be running there and goes on.
 	Workers, Attempts int
@@ -40,11 +40,7 @@
 	for _, d := range domains {
 		s.evacuations.domains[d] = true
 	}
-	for d := range s.evacuations.noted {
-		if !s.evacuations.domains[d] {
-			delete(s.evacuations.noted, d)
-		}
-	}
+	maps.DeleteFunc(s.evacuations.noted, func(d platform.FailureDomain, _ bool) bool { return !s.evacuations.domains[d] })
 	for _, w := range s.workers {
 		w.evacuated = s.evacuations.include(w.info.Domain)
 	}
@@ -54,9 +50,24 @@
 	}
 }
 
-// Evacuated returns the failure domains whose workers get no start orders, sorted.
-func (s *Shard) Evacuated() []platform.FailureDomain {
-	return slices.Sorted(maps.Keys(s.evacuations.domains))
+// Evacuations returns the failure domains whose workers get no start orders, sorted by name.
+func (s *Shard) Evacuations() []Evacuation {
+	var list []Evacuation
+	place := map[platform.FailureDomain]int{}
+	for _, d := range slices.Sorted(maps.Keys(s.evacuations.domains)) {
+		place[d] = len(list)
+		list = append(list, Evacuation{Domain: d})
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	for _, w := range s.workers {
+		if i, evacuated := place[w.info.Domain]; evacuated && w.registered {
+			list[i].Workers++
+			list[i].Attempts += len(w.attempts)
+		}
+	}
+	return list
 }
 
 // EvacuationsKnown reports whether the operators' requests were read, where there may be any.
@@ -116,33 +127,10 @@
 	if len(s.evacuations.noted) == len(s.evacuations.domains) || !s.CapacitiesKnown(now) {
 		return
 	}
-	if s.evacuations.noted == nil {
-		s.evacuations.noted = map[platform.FailureDomain]bool{}
-	}
-	for d := range s.evacuations.domains {
-		if s.evacuations.noted[d] {
-			continue
-		}
-		s.evacuations.noted[d] = true
-		note := EvacuationNote{Domain: d}
-		for _, w := range s.workers {
-			if w.registered && w.info.Domain == d {
-				note.Workers++
-				note.Attempts += len(w.attempts)
-			}
-		}
-		s.notes.Evacuations = append(s.notes.Evacuations, note)
-	}
-}
-
-// CountEvacuated counts the workers of evacuated domains and the attempts that may be running
-// there.
-func (s *Shard) CountEvacuated() (workers, attempts int) {
-	for _, w := range s.workers {
-		if w.evacuated && w.registered {
-			workers++
-			attempts += len(w.attempts)
+	for _, e := range s.Evacuations() {
+		if !s.evacuations.noted[e.Domain] {
+			s.evacuations.noted[e.Domain] = true
+			s.notes.Evacuations = append(s.notes.Evacuations, e)
 		}
 	}
-	return workers, attempts
 }
--- a/internal/scheduler/notes.go
+++ b/internal/scheduler/notes.go
@@ -24,7 +24,7 @@
 	Unheard   []UnheardNote
 	Restarts  []RestartNote
 	// Evacuations are those that the owner has begun to obey.
-	Evacuations []EvacuationNote
+	Evacuations []Evacuation
 }
 
 // RestartNote says that a worker is in another run than before.
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -133,6 +133,7 @@
 		lostRuns:      map[workerRun]*lostRun{},
 		adviceSize:    maxRequestWorkers,
 		entries:       entries{recentRequired: true},
+		evacuations:   evacuations{noted: map[platform.FailureDomain]bool{}},
 		headroom:      headroom.NewModel(),
 		trials:        trials{clearedUntil: map[headroom.ImageID]Instant{}},
 		lengths:       length.NewModel(),
