Refused callers return in turn, when their room is expected

Change (internal/scheduler/returntime.go): a refused caller is told when the load that refuses it has drained, after the work of those refused before it for want of the same capacity. Endless work is told when the peak of batch work has decayed and the predicted ends of running batch tasks have freed what it lacks, which is also logged as wait_ms.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -155,18 +155,36 @@
 	for i := range sub.Spec.Steps {
 		a.Wait += s.expectedWait(now, &sub.Spec.Steps[i])
 	}
-	if float64(a.Wait) > waitTolerance*float64(a.Slack) {
+	tolerated := time.Duration(waitTolerance * float64(a.Slack))
+	if a.Wait > tolerated {
 		a.Admitted, a.Reason = false, reasonLateStart
 	} else if backlog := s.backlog(now, sub); backlog > maxBacklog {
 		a = Admission{Reason: reasonBacklog, Wait: backlog, Slack: maxBacklog}
+		tolerated = maxBacklog
 	}
 	if !a.Admitted {
-		a.RetryAfter = min(maxRetryAfter, max(minRetryAfter, a.Wait-a.Slack))
+		class, own := s.busiest(now, sub)
+		a.RetryAfter = s.returns.delay(now, class, a.Wait-tolerated, own)
 		s.noteRefusal(now, sub)
 	}
 	return a
 }
 
+// busiest returns the class whose start rate a job's tasks keep busy for the longest, and for how
+// long.
+func (s *Shard) busiest(now Instant, sub *job.Submission) (busiest capacityClass, own time.Duration) {
+	tasks := map[capacityClass]int{}
+	for i := range sub.Spec.Steps {
+		class := capacityClassOf(&sub.Spec.Steps[i])
+		tasks[class] += sub.Spec.Steps[i].Tasks
+		rate := max(s.starts(now, class), s.inheritedRates[class], 1/startRateWindow.Seconds())
+		if lasts := time.Duration(float64(tasks[class]) / rate * float64(time.Second)); lasts > own {
+			busiest, own = class, lasts
+		}
+	}
+	return busiest, own
+}
+
 // backlog returns how long it takes to start the tasks of accepted jobs that wait for the same
 // CPU as those of a job and have missed their objective. Jobs that can be in time go before
 // them, but each of them has to run some time. It is zero while that is not known.
@@ -324,7 +342,8 @@
 	if free-need >= batchReserve {
 		return Admission{Admitted: true}
 	}
-	return Admission{Reason: reasonRoom, RetryAfter: maxRetryAfter}
+	fits := room{need: need, free: free, reserved: s.batchReserved, wanted: s.batchWanted(), peak: s.batchPeak}.expectedIn(s.batchEnds(now))
+	return Admission{Reason: reasonRoom, RetryAfter: min(maxRetryAfter, max(minRetryAfter, fits)), Wait: fits}
 }
 
 // freeMilliCPUFor returns the free CPU that tasks of a job's size can use, in
@@ -365,14 +384,20 @@
 	return total
 }
 
-// updateBatchPeak updates the decaying peak of the CPU that batch work needs.
-func (s *Shard) updateBatchPeak(now Instant) {
-	needed := float64(s.batchReserved)
+// batchWanted returns the CPU that batch work reserves or waits for, in thousandths of a core.
+func (s *Shard) batchWanted() int64 {
+	wanted := s.batchReserved
 	for _, r := range s.waiting.steps {
 		if !r.spec.LongRunning {
-			needed += float64(int64(len(r.startable)) * r.spec.Reserved().MilliCPU)
+			wanted += int64(len(r.startable)) * r.spec.Reserved().MilliCPU
 		}
 	}
+	return wanted
+}
+
+// updateBatchPeak updates the decaying peak of the CPU that batch work needs.
+func (s *Shard) updateBatchPeak(now Instant) {
+	needed := float64(s.batchWanted())
 	s.batchPeak *= math.Exp(-(now - s.batchPeakAt).Seconds() / batchPeakDecay.Seconds())
 	s.batchPeak, s.batchPeakAt = max(s.batchPeak, needed), now
 }
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -78,6 +78,7 @@
 	// inheritedRates the starts per second of the classes that the earlier owner refused.
 	refusedUntil   map[capacityClass]Instant
 	inheritedRates map[capacityClass]float64
+	returns        returnQueue
 	startOrders    startOrders
 	// batchReserved is the CPU that batch tasks have reserved, in thousandths of a
 	// core.
@@ -124,6 +125,7 @@
 		workers:       map[platform.WorkerID]*workerState{},
 		startRates:    map[capacityClass]*startRate{},
 		refusedUntil:  map[capacityClass]Instant{},
+		returns:       returnQueue{},
 		stopsInFlight: map[stopKey]int{},
 		lostRuns:      map[workerRun]*lostRun{},
 		adviceSize:    maxRequestWorkers,
