Callers wait for a starting host's first read of the declarations

Others were told that the store had not answered for 2,562,047 hours: the host's first join was still under way.

Change: a caller waits for the first version, up to 0.5 s from the host's start and half of its own time; then it is refused at once, with the time that the host has gone without. A host that has joined no group yet counts the store's silence from its start.

TestStartingHostWaitsForDeclarations (20 callers while the host starts: 503 before) and TestStartingHostDoesNotTakeStoreForAway fail before.

--- a/internal/process/node/answers_test.go
+++ b/internal/process/node/answers_test.go
@@ -163,3 +163,17 @@
 	must.Eq(t, 30, s.lasts(90))
 	must.Eq(t, callUnserved, resultOf(errors.New("reset"), true))
 }
+
+// TestStartingHostDoesNotTakeStoreForAway guards against callers refused by hosts whose first join is still
+// under way: they were told that the store had not answered for centuries. Load: callers who return to hosts
+// that have just started, after the loss of all, to a slow store.
+func TestStartingHostDoesNotTakeStoreForAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster()
+		c.view("h1").Set(memstore.Healthy, 240*time.Millisecond)
+		n := c.startHost(t, "h1", 1)
+		must.Less(t, outageThreshold, n.Outage())
+		must.NoError(t, submit(n, 3*time.Second))
+		c.stop(n)
+	})
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -83,6 +83,9 @@
 	// connection, which must not be one of peers.
 	probes *peer.Client
 	config atomic.Pointer[queue.Config]
+	// declared is closed once the first version of the declarations is in force.
+	declared  chan struct{}
+	startedAt time.Duration
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -177,6 +180,7 @@
 		Config: c, partition: partition, table: job.NewTable(), readToken: make(chan struct{}, 1), peers: peer.NewClientOn(c.Network),
 		probes: peer.NewClientOn(c.Network), watch: ownerWatch{aliveAt: c.Clock()}, handBackAt: c.Clock() - handBackInterval,
 	}
+	n.declared, n.startedAt = make(chan struct{}), c.Clock()
 	n.direct.node = n
 	n.answers = newPartitionAnswers(c.Clock, n.probePartition, n.reportPartition)
 	instrumented.shard = n.answers
@@ -220,6 +224,31 @@
 // Queues returns the declarations in force, or nil before the first version.
 func (n *Node) Queues() *queue.Config { return n.config.Load() }
 
+// firstReadTime is how long after its start a host is expected to read the declarations while all
+// hosts start: callers wait for that time, which is less than they would wait to return.
+const firstReadTime = 500 * time.Millisecond
+
+// AwaitQueues returns the declarations in force. A host that has just started waits for the first
+// version. It returns nil if none has come within firstReadTime of the start, or ctx is done.
+func (n *Node) AwaitQueues(ctx context.Context) *queue.Config {
+	left := n.startedAt + firstReadTime - n.Clock()
+	if n.Queues() != nil || left <= 0 {
+		return n.Queues()
+	}
+	timeout := time.NewTimer(left)
+	defer timeout.Stop()
+	select {
+	case <-n.declared:
+		n.count("requests.waited_for_declarations")
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	return n.Queues()
+}
+
+// Undeclared returns for how long the host has run without declarations.
+func (n *Node) Undeclared() time.Duration { return n.Clock() - n.startedAt }
+
 // SetBounds changes the platform's limits for the shard that the host owns and for
 // later takeovers.
 func (n *Node) SetBounds(b scheduler.Bounds) {
@@ -275,10 +304,14 @@
 // putInForce makes c the version in force and reports true, unless it is not newer than
 // the one in force.
 func (n *Node) putInForce(c *queue.Config) bool {
-	if current := n.config.Load(); current != nil && c.Version <= current.Version {
+	current := n.config.Load()
+	if current != nil && c.Version <= current.Version {
 		return false
 	}
 	n.config.Store(c)
+	if current == nil {
+		close(n.declared)
+	}
 	n.applying.Lock()
 	defer n.applying.Unlock()
 	if d := n.ownedDispatcher(); d != nil {
--- a/internal/process/node/takeover_test.go
+++ b/internal/process/node/takeover_test.go
@@ -58,7 +58,7 @@
 			Clock: func() time.Duration { f.arrive(); return time.Since(started) },
 			Store: view, Registry: func() fleet.Registry { return noWorkers{} },
 		},
-		partition: store.Partition{Topic: JobTopic}, table: job.NewTable(), readToken: make(chan struct{}, 1),
+		partition: store.Partition{Topic: JobTopic}, table: job.NewTable(), readToken: make(chan struct{}, 1), declared: make(chan struct{}),
 	}
 	n.storeHealth = newStoreHealth(logger, n.Clock)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
--- a/internal/process/node/write.go
+++ b/internal/process/node/write.go
@@ -329,7 +329,8 @@
 	if n.leaving.Load() {
 		return max(0, n.SinceCaughtUp()-followInterval)
 	}
-	return n.storeAge()
+	// A host that has joined no group yet has asked for as long as it runs.
+	return min(n.storeAge(), n.Clock()-n.startedAt)
 }
 
 // notifyOwner sends records that are in the log to the shard's owner.
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -58,12 +58,12 @@
 
 // serve handles one request.
 func (s *Server) serve(ctx context.Context, c *app.RequestContext) {
-	config := s.node.Queues()
+	config := s.declarations(ctx, c)
 	if config == nil {
 		event.JobRefused.Log(s.logger, logrus.Fields{"path": string(c.Path()), "reason": "no declarations yet"})
 		ctx, cancel := context.WithTimeout(ctx, s.timeout(c, nil))
 		defer cancel()
-		s.retryLater(ctx, c, minRetryAfter)
+		s.retryLater(ctx, c, s.node.Undeclared())
 		return
 	}
 	path := string(c.Path())
@@ -96,6 +96,17 @@
 	}
 }
 
+// declarations returns those in force, or nil if there are none in time. A caller waits for half of
+// its time at most, so that it can return.
+func (s *Server) declarations(ctx context.Context, c *app.RequestContext) *queue.Config {
+	if config := s.node.Queues(); config != nil {
+		return config
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.timeout(c, nil)/2)
+	defer cancel()
+	return s.node.AwaitQueues(ctx)
+}
+
 // hostOf returns the host that the caller addressed, without a port.
 func hostOf(c *app.RequestContext) string {
 	host := string(c.Host())
--- a/internal/request/intake/intake_test.go
+++ b/internal/request/intake/intake_test.go
@@ -211,3 +211,18 @@
 	fx.view.Set(memstore.Healthy, 0)
 	must.Eq(t, 410, fx.call("GET", "/d/"+id, "").status)
 }
+
+// TestStartingHostWaitsForDeclarations guards against callers refused by hosts that read the declarations a
+// moment later. Load: after the loss of all hosts, callers come while each host starts.
+func TestStartingHostWaitsForDeclarations(t *testing.T) {
+	fx := newFixture(t)
+	statuses := make(chan int, 20)
+	for range cap(statuses) {
+		go func() { statuses <- fx.call("GET", "/d/", "").status }()
+	}
+	time.Sleep(50 * time.Millisecond)
+	fx.declare()
+	for range cap(statuses) {
+		must.Eq(t, 200, <-statuses)
+	}
+}
