--- a/internal/scheduler/notes.go
+++ b/internal/scheduler/notes.go
@@ -128,6 +128,10 @@
 	Waited     time.Duration
 	// Idle is the time for which nothing of the job has run, or zero.
 	Idle time.Duration
+	// Size is what a task of the step reserves. LargestGap is the most CPU, in thousandths of a
+	// core, that is free on one of the NoRoom workers, and Free what is free on all of them.
+	Size             platform.Resources
+	LargestGap, Free int64
 	// MostlyFree is set if under half of the CPU is reserved on the workers of the service.
 	MostlyFree bool
 	// HeldUp is set if the step was not tried on any worker because no start order was left.
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -188,7 +188,7 @@
 	r.waitingNotedAt = p.now
 	note := WaitingNote{
 		Job: r.job.id, Occurrence: r.occurrence, Step: r.stepIndex, Waiting: len(r.startable), Waited: p.now - t.queuedAt,
-		HeldUp: heldUp, MostlyFree: p.mostlyFree(r),
+		HeldUp: heldUp, MostlyFree: p.mostlyFree(r), Size: r.spec.Reserved(),
 	}
 	if r.job.liveAttempts == 0 {
 		note.Idle = p.now - max(t.queuedAt, r.job.idleSince)
@@ -219,6 +219,7 @@
 			note.SetAside++
 		case !r.spec.Reserved().Fits(w.free()):
 			note.NoRoom++
+			note.addGap(w)
 		case !feasible(r, w):
 			note.Unfit++
 		case !r.permitted(p.now, w):
@@ -235,6 +236,13 @@
 	}
 }
 
+// addGap adds the free CPU of a worker that has too little room for a task.
+func (n *WaitingNote) addGap(w *workerState) {
+	free := max(0, w.free().MilliCPU)
+	n.LargestGap = max(n.LargestGap, free)
+	n.Free += free
+}
+
 // service returns the service whose workers run a step.
 func (p *placement) service(r *stepRun) platform.ServiceName {
 	return p.shard.serviceOf(r.job.sub.Queue, r.job.sub.Service)
