Room on workers is kept for large tasks that find none

Batch tasks went to the worker with the most free processors, which cut the large gaps first.

While a batch step finds no room on any worker, batch tasks go to the smallest gap that holds them, and the step gets workers reserved where room is expected soonest by the predicted ends of what runs there; tasks of others start there only if nine of ten such end before. A reservation is made where the step still meets its objective with that room, or once it has waited for 3 s; their number and time are bounded. The model of run times learns their spread. Nothing changes where all tasks find room.

TestLargeTaskIsNotPassedByLaterSmallOnes and TestGangGetsRoomBesideSmallTasks fail without reserve(): the task has not started after 20 s.

--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -89,6 +89,13 @@
 		d.counter("workers.set_aside").Inc(1)
 		event.WorkerSetAside.Log(d.Logger, logrus.Fields{"worker": note.Worker, "reason": note.Reason, "for_ms": note.For.Milliseconds()})
 	}
+	for _, note := range n.Reserved {
+		d.counter("workers.reserved").Inc(1)
+		event.WorkerReserved.Log(d.Logger, logrus.Fields{
+			"job": note.Job, "occurrence": note.Occurrence, "step": note.Step, "worker": note.Worker, "milli_cpu": note.Size.MilliCPU, "memory_mb": note.Size.MemoryMB,
+			"waited_ms": note.Waited.Milliseconds(), "ready_ms": note.Ready.Milliseconds(),
+		})
+	}
 	for _, note := range n.Held {
 		d.counter("steps.held").Inc(1)
 		event.StepWaiting.Log(d.Logger, logrus.Fields{
--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -59,7 +59,9 @@
 	endUnread           bool
 	// ranBefore is for how long the attempt is known to have run under earlier owners.
 	ranBefore time.Duration
-	progress  int
+	// expectedRun is the run time that was predicted for the attempt, or zero if none was yet.
+	expectedRun time.Duration
+	progress    int
 	// progressedAt is when progress last increased.
 	progressedAt Instant
 	// resumedAt is when the CPU limit was last raised from 0.
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -20,10 +20,13 @@
 // fits reports whether a worker has the resources that a task of a step reserves, and the
 // properties that it needs.
 func fits(r *stepRun, w *workerState) bool {
+	return r.spec.Reserved().Fits(w.free()) && r.hasProperties(w)
+}
+
+// hasProperties reports whether a worker has the properties that a task of a step needs, and
+// not too many tasks of it.
+func (r *stepRun) hasProperties(w *workerState) bool {
 	step := r.spec
-	if !step.Reserved().Fits(w.free()) {
-		return false
-	}
 	if step.Label != "" && !slices.Contains(w.info.Labels, step.Label) {
 		return false
 	}
--- a/internal/scheduler/length/length.go
+++ b/internal/scheduler/length/length.go
@@ -18,6 +18,12 @@
 	priorSumSq = 2.0
 	// estimateWeight is the weight of the caller's estimate alone, in measurements.
 	estimateWeight = 2.0
+	// priorDeviation is the assumed standard deviation of log run times before any measurement,
+	// about a factor of two, and deviationWeight its weight in measurements.
+	priorDeviation  = 0.7
+	deviationWeight = 4.0
+	// upperDeviations is the number of standard deviations that nine of ten run times lie below.
+	upperDeviations = 1.28
 	// defaultRunTime is predicted when there is neither an estimate nor a measurement.
 	defaultRunTime = time.Second
 	// minRunTime is the lower bound on run times before their logarithm is taken.
@@ -39,6 +45,8 @@
 	// estimateSumSq is the sum of the estimates' squared deviations from their mean,
 	// crossSum that of the products of both deviations.
 	estimateSumSq, crossSum float64
+	// runTimeSumSq is the sum of the run times' squared deviations from their mean.
+	runTimeSumSq float64
 }
 
 // NewModel returns a model without measurements.
@@ -55,7 +63,9 @@
 	s.count++
 	dx := x - s.meanEstimate
 	s.meanEstimate += dx / s.count
-	s.meanRunTime += (y - s.meanRunTime) / s.count
+	dy := y - s.meanRunTime
+	s.meanRunTime += dy / s.count
+	s.runTimeSumSq += dy * (y - s.meanRunTime)
 	s.estimateSumSq += dx * (x - s.meanEstimate)
 	s.crossSum += dx * (y - s.meanRunTime)
 }
@@ -75,12 +85,35 @@
 		return fromLogSeconds(s.meanRunTime)
 	}
 	x := logSeconds(estimate)
-	slope := (s.crossSum + priorSlope*priorSumSq) / (s.estimateSumSq + priorSumSq)
-	measured := s.meanRunTime + slope*(x-s.meanEstimate)
+	measured := s.meanRunTime + s.slope()*(x-s.meanEstimate)
 	weight := s.count / (s.count + estimateWeight)
 	return fromLogSeconds(weight*measured + (1-weight)*x)
 }
 
+// slope returns the slope of log run time over log estimate.
+func (s *moments) slope() float64 {
+	return (s.crossSum + priorSlope*priorSumSq) / (s.estimateSumSq + priorSumSq)
+}
+
+// UpperBound returns the run time that nine of ten tasks with the given estimate do not exceed.
+func (m *Model) UpperBound(k TaskKind, estimate time.Duration) time.Duration {
+	return time.Duration(float64(m.Predict(k, estimate)) * math.Exp(upperDeviations*m.deviation(k, estimate)))
+}
+
+// deviation returns the standard deviation of the logarithm of run times about the predicted one.
+func (m *Model) deviation(k TaskKind, estimate time.Duration) float64 {
+	sum, weight := priorDeviation*priorDeviation*deviationWeight, deviationWeight
+	if s := m.kinds[k]; s != nil {
+		residuals := s.runTimeSumSq
+		if estimate != 0 {
+			b := s.slope()
+			residuals += b*b*s.estimateSumSq - 2*b*s.crossSum
+		}
+		sum, weight = sum+max(0, residuals), weight+s.count
+	}
+	return math.Sqrt(sum / weight)
+}
+
 func fromLogSeconds(y float64) time.Duration {
 	return time.Duration(math.Exp(y) * float64(time.Second))
 }
--- a/internal/scheduler/length/snapshot.go
+++ b/internal/scheduler/length/snapshot.go
@@ -12,13 +12,14 @@
 	MeanRunTime   float64 `cbor:"3,keyasint"`
 	EstimateSumSq float64 `cbor:"4,keyasint"`
 	CrossSum      float64 `cbor:"5,keyasint"`
+	RunTimeSumSq  float64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Snapshot returns the learned state.
 func (m *Model) Snapshot() Snapshot {
 	s := Snapshot{}
 	for k, x := range m.kinds {
-		s[k] = KindSnapshot{x.count, x.meanEstimate, x.meanRunTime, x.estimateSumSq, x.crossSum}
+		s[k] = KindSnapshot{x.count, x.meanEstimate, x.meanRunTime, x.estimateSumSq, x.crossSum, x.runTimeSumSq}
 	}
 	return s
 }
@@ -26,6 +27,10 @@
 // Restore loads a snapshot into an empty model.
 func (m *Model) Restore(s Snapshot) {
 	for k, x := range s {
-		m.kinds[k] = &moments{count: x.Count, meanEstimate: x.MeanEstimate, meanRunTime: x.MeanRunTime, estimateSumSq: x.EstimateSumSq, crossSum: x.CrossSum}
+		if x.RunTimeSumSq == 0 {
+			// A version before wrote none.
+			x.RunTimeSumSq = x.Count * priorDeviation * priorDeviation
+		}
+		m.kinds[k] = &moments{count: x.Count, meanEstimate: x.MeanEstimate, meanRunTime: x.MeanRunTime, estimateSumSq: x.EstimateSumSq, crossSum: x.CrossSum, runTimeSumSq: x.RunTimeSumSq}
 	}
 }
--- a/internal/scheduler/notes.go
+++ b/internal/scheduler/notes.go
@@ -23,6 +23,20 @@
 	Trials    []TrialNote
 	Unheard   []UnheardNote
 	Restarts  []RestartNote
+	Reserved  []ReservedNote
+}
+
+// ReservedNote says that room on a worker is kept for a task of a step.
+type ReservedNote struct {
+	Job        job.ID
+	Occurrence int
+	Step       int
+	Worker     platform.WorkerID
+	// Size is the room that is kept.
+	Size platform.Resources
+	// Waited is for how long the step has waited, and Ready the time after which the room is
+	// expected to be free.
+	Waited, Ready time.Duration
 }
 
 // RestartNote says that a worker is in another run than before.
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -69,6 +69,7 @@
 // PlanPeriod or after the next answer, whichever comes first.
 func (s *Shard) Plan(now Instant, nowMS int64, maxStarts int) Actions {
 	s.now, s.nowMS = now, nowMS
+	s.updateReservations(now)
 	full := s.dirty.beginPlan(now)
 	if full {
 		s.updateSuccessions(now)
@@ -129,6 +130,7 @@
 			}
 		}
 		if len(r.startable) > 0 {
+			p.reserve(r)
 			p.noteWaiting(r, false)
 		}
 	}
@@ -263,6 +265,8 @@
 	onTrial, urgent bool
 	// starving is set while one task of a starved step is tried.
 	starving bool
+	// searches counts the steps for which this plan has looked for workers to reserve.
+	searches int
 	// issued counts the start orders of this plan.
 	issued int
 	// unplaceable are the starved steps for which this plan has found no worker.
@@ -411,6 +415,7 @@
 // issueStart sends the start order of an assumed attempt.
 func (p *placement) issueStart(a *attempt) {
 	p.startsLeft--
+	p.shard.useReservation(a)
 	p.issued++
 	a.worker.placedAt, a.task.heldSince = p.now, 0
 	if a.task.isSuspect() {
--- a/internal/scheduler/rating.go
+++ b/internal/scheduler/rating.go
@@ -35,7 +35,7 @@
 
 // accepts reports whether a worker can take one more task of a step.
 func (p *placement) accepts(r *stepRun, image headroom.ImageID, w *workerState) bool {
-	if !r.permitted(p.now, w) || !fits(r, w) {
+	if !r.permitted(p.now, w) || !fits(r, w) || !p.leavesReserved(r, w) {
 		return false
 	}
 	// An urgent filler is slow without spare CPU, but its job has waited with nothing running.
--- a/internal/scheduler/score.go
+++ b/internal/scheduler/score.go
@@ -31,6 +31,9 @@
 		total = affinityWeight*w.imageAffinity(image) - packingWeight*w.fractionOfCPU(float64(w.free().MilliCPU)) - s.headroom.Taken(image, w.colocation.currentShares(), s.now)
 	default:
 		total = w.fractionOfCPU(float64(w.free().MilliCPU))
+		if s.inShortage(s.now) {
+			total = -total
+		}
 	}
 	if isRemote(step.DataRack, w.info.Rack) {
 		total -= s.bounds.RemoteFactor
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -21,6 +21,7 @@
 	"github.com/siskinvane/siskinvane/internal/scheduler/headroom"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 	"github.com/siskinvane/siskinvane/internal/scheduler/length"
+	"github.com/siskinvane/siskinvane/internal/scheduler/reservation"
 	"github.com/siskinvane/siskinvane/internal/version/queue"
 )
 
@@ -68,6 +69,12 @@
 	sortedWorkers []*workerState
 	dirty         dirtySet
 	waiting       waitingSteps
+	// reservations are the workers that are kept for waiting steps, unreserved those whose
+	// reservation the last plan has used. shortageUntil is until when
+	// batch tasks are placed so that large gaps stay whole.
+	reservations  *reservations
+	unreserved    []*workerState
+	shortageUntil Instant
 	// startsInOrder counts the start orders issued since the last one of a starved step.
 	startsInOrder int
 	// nextStarvedAtLoad is when the next starved step may be placed while half of the CPU or
@@ -127,6 +134,7 @@
 		stopsInFlight: map[stopKey]int{},
 		lostRuns:      map[workerRun]*lostRun{},
 		adviceSize:    maxRequestWorkers,
+		reservations:  reservation.NewBook[*workerState, *stepRun](),
 		entries:       entries{recentRequired: true},
 		headroom:      headroom.NewModel(),
 		trials:        trials{clearedUntil: map[headroom.ImageID]Instant{}},
