--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -98,6 +98,13 @@
 		}
 		e.Log(d.Logger, logrus.Fields{"domain": note.Domain, "workers": note.Workers, "running": note.Attempts})
 	}
+	for _, note := range n.Reserved {
+		d.counter("workers.reserved").Inc(1)
+		event.WorkerReserved.Log(d.Logger, logrus.Fields{
+			"job": note.Job, "occurrence": note.Occurrence, "step": note.Step, "worker": note.Worker, "milli_cpu": note.Size.MilliCPU, "memory_mb": note.Size.MemoryMB,
+			"waited_ms": note.Waited.Milliseconds(), "ready_ms": note.Ready.Milliseconds(),
+		})
+	}
 	for _, note := range n.Held {
 		d.counter("steps.held").Inc(1)
 		event.StepWaiting.Log(d.Logger, logrus.Fields{
@@ -105,6 +112,7 @@
 			"idle_ms": note.Idle.Milliseconds(), "evacuated": note.Evacuated, "unusable": note.Unusable, "set_aside": note.SetAside, "no_room": note.NoRoom, "unfit": note.Unfit,
 			"unpermitted": note.Unpermitted, "harmful": note.Harmful, "lacking_headroom": math.Round(note.LackingHeadroom*100) / 100,
 			"occupied": note.Occupied, "unheard": note.Unreconciled,
+			"milli_cpu": note.Size.MilliCPU, "memory_mb": note.Size.MemoryMB, "largest_gap": note.LargestGap, "free": note.Free,
 			"entries_age_ms": note.EntriesAge.Milliseconds(), "no_order": note.HeldUp, "mostly_free": note.MostlyFree,
 		})
 	}
--- a/internal/scheduler/notes.go
+++ b/internal/scheduler/notes.go
@@ -25,6 +25,20 @@
 	Restarts  []RestartNote
 	// Evacuations are those that the owner has begun to obey.
 	Evacuations []Evacuation
+	Reserved    []ReservedNote
+}
+
+// ReservedNote says that room on a worker is kept for a task of a step.
+type ReservedNote struct {
+	Job        job.ID
+	Occurrence int
+	Step       int
+	Worker     platform.WorkerID
+	// Size is the room that is kept.
+	Size platform.Resources
+	// Waited is for how long the step has waited, and Ready the time after which the room is
+	// expected to be free.
+	Waited, Ready time.Duration
 }
 
 // RestartNote says that a worker is in another run than before.
@@ -133,6 +147,10 @@
 	Waited     time.Duration
 	// Idle is the time for which nothing of the job has run, or zero.
 	Idle time.Duration
+	// Size is what a task of the step reserves. LargestGap is the most CPU, in thousandths of a
+	// core, that is free on one of the NoRoom workers, and Free what is free on all of them.
+	Size             platform.Resources
+	LargestGap, Free int64
 	// MostlyFree is set if under half of the CPU is reserved on the workers of the service.
 	MostlyFree bool
 	// HeldUp is set if the step was not tried on any worker because no start order was left.
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -69,6 +69,7 @@
 // PlanPeriod or after the next answer, whichever comes first.
 func (s *Shard) Plan(now Instant, nowMS int64, maxStarts int) Actions {
 	s.now, s.nowMS = now, nowMS
+	s.updateReservations(now)
 	full := s.dirty.beginPlan(now)
 	if full {
 		s.updateSuccessions(now)
@@ -130,6 +131,7 @@
 			}
 		}
 		if len(r.startable) > 0 {
+			p.reserve(r)
 			p.noteWaiting(r, false)
 		}
 	}
@@ -189,7 +191,7 @@
 	r.waitingNotedAt = p.now
 	note := WaitingNote{
 		Job: r.job.id, Occurrence: r.occurrence, Step: r.stepIndex, Waiting: len(r.startable), Waited: p.now - t.queuedAt,
-		HeldUp: heldUp, MostlyFree: p.mostlyFree(r),
+		HeldUp: heldUp, MostlyFree: p.mostlyFree(r), Size: r.spec.Reserved(),
 	}
 	if r.job.liveAttempts == 0 {
 		note.Idle = p.now - max(t.queuedAt, r.job.idleSince)
@@ -222,6 +224,7 @@
 			note.SetAside++
 		case !r.spec.Reserved().Fits(w.free()):
 			note.NoRoom++
+			note.addGap(w)
 		case !feasible(r, w):
 			note.Unfit++
 		case !r.permitted(p.now, w):
@@ -238,6 +241,13 @@
 	}
 }
 
+// addGap adds the free CPU of a worker that has too little room for a task.
+func (n *WaitingNote) addGap(w *workerState) {
+	free := max(0, w.free().MilliCPU)
+	n.LargestGap = max(n.LargestGap, free)
+	n.Free += free
+}
+
 // service returns the service whose workers run a step.
 func (p *placement) service(r *stepRun) platform.ServiceName {
 	return p.shard.serviceOf(r.job.sub.Queue, r.job.sub.Service)
@@ -258,6 +268,8 @@
 	onTrial, urgent bool
 	// starving is set while one task of a starved step is tried.
 	starving bool
+	// searches counts the steps for which this plan has looked for workers to reserve.
+	searches int
 	// issued counts the start orders of this plan.
 	issued int
 	// unplaceable are the starved steps for which this plan has found no worker.
@@ -406,6 +418,7 @@
 // issueStart sends the start order of an assumed attempt.
 func (p *placement) issueStart(a *attempt) {
 	p.startsLeft--
+	p.shard.useReservation(a)
 	p.issued++
 	a.worker.placedAt, a.task.heldSince = p.now, 0
 	if a.task.isSuspect() {
