Clients of siskin-scheduler share a bound on memory and descriptors

Cause: the HTTP library reads a request in whole before a handler sees it, keeps copies of what it has read and buffers of announced sizes, and only the body of one request was bounded, at 64 MB. The server ended for good at the first connection for which the process had no descriptor.

Change: connections of callers, readiness and metrics gather a request themselves (request/framing) and pass it on once it is complete: its head and decoded body, bounded at 32 KiB and 512 KiB or by the declarations if they allow more. process/quota counts what all connections of a server take, within a quarter of memory_mb and half of the descriptors (new setting max_descriptors, and the system's limit), and chooses who gives way: longest idle connections, then the largest unfinished requests; never a request that is handled. Refusals are 400, 413, 431 and 503 with Retry-After, the others are closed; nothing of them has run. Accept goes on after errors that pass.

--- a/internal/process/settings/scheduler.go
+++ b/internal/process/settings/scheduler.go
@@ -27,6 +27,9 @@
 	// MemoryMB is the memory that the process may use, Processors the number of cores.
 	MemoryMB   int64 `json:"memory_mb"`
 	Processors int   `json:"processors"`
+	// MaxDescriptors is the number of descriptors that the process may open. It is
+	// optional; 0 means unknown.
+	MaxDescriptors int `json:"max_descriptors,omitempty"`
 	// LinkMbps is the bandwidth of the host's network link in megabit/s. It is optional;
 	// 0 means unknown.
 	LinkMbps float64 `json:"link_mbps,omitempty"`
@@ -81,6 +84,8 @@
 	minMemoryMB     = 32
 	maxMemoryMB     = 1 << 20
 	maxProcessors   = 1024
+	minDescriptors  = 64
+	maxDescriptors  = 1 << 30
 	maxRemoteFactor = 100
 	maxLinkMbps     = 10_000_000
 )
@@ -105,6 +110,9 @@
 	})
 	jsonfield.Range(c, "memory_mb", s.MemoryMB, minMemoryMB, maxMemoryMB)
 	jsonfield.Range(c, "processors", s.Processors, 1, maxProcessors)
+	if s.MaxDescriptors != 0 {
+		jsonfield.Range(c, "max_descriptors", s.MaxDescriptors, minDescriptors, maxDescriptors)
+	}
 	jsonfield.Range(c, "link_mbps", s.LinkMbps, 0, maxLinkMbps)
 	jsonfield.Range(c, "bounds.max_lease_ms", s.Bounds.MaxLeaseMS, 1, maxBoundMS)
 	jsonfield.Range(c, "bounds.stop_grace_ms", s.Bounds.StopGraceMS, 0, maxBoundMS)
--- a/internal/process/settings/scheduler_test.go
+++ b/internal/process/settings/scheduler_test.go
@@ -47,6 +47,7 @@
 		"append_bytes":    {`"append_bytes": 2097152`, `"append_bytes": 100`},
 		"declarations_ms": {`"stop_grace_ms"`, `"declarations_ms": 100, "stop_grace_ms"`},
 		"link_mbps":       {`"link_mbps": 12.5`, `"link_mbps": -1`},
+		"max_descriptors": {`"processors": 1`, `"processors": 1, "max_descriptors": 3`},
 		"retention_s":     {`"retention_s": 120`, `"retention_s": 0`},
 	}
 	for name, c := range cases {
--- a/internal/process/web/listener.go
+++ b/internal/process/web/listener.go
@@ -1,35 +1,67 @@
 package web
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 )
 
 // trackingListener tracks its open connections, so that idle ones can be closed when the
 // server stops.
 type trackingListener struct {
 	net.Listener
+	// guard is nil if the clients are trusted.
+	guard *Guard
 
 	mu    sync.Mutex
 	conns map[*trackedConn]struct{}
 }
 
-func newTrackingListener(ln net.Listener) *trackingListener {
-	return &trackingListener{Listener: ln, conns: map[*trackedConn]struct{}{}}
+func newTrackingListener(ln net.Listener, guard *Guard) *trackingListener {
+	return &trackingListener{Listener: ln, guard: guard, conns: map[*trackedConn]struct{}{}}
 }
 
-// Accept implements net.Listener.
+// acceptPause is the time between two tries to accept a connection without a free
+// descriptor.
+const acceptPause = 20 * time.Millisecond
+
+// Accept implements net.Listener. The server ends at the first error, so errors that pass
+// are not returned.
 func (l *trackingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		switch {
+		case isPassing(err):
+			time.Sleep(acceptPause)
+			continue
+		case err != nil:
+			return nil, err
+		}
+		tracked := &trackedConn{Conn: conn, listener: l}
+		l.mu.Lock()
+		l.conns[tracked] = struct{}{}
+		l.mu.Unlock()
+		if l.guard == nil {
+			return tracked, nil
+		}
+		if guarded := l.guard.guard(tracked); guarded != nil {
+			return guarded, nil
+		}
 	}
-	tracked := &trackedConn{Conn: conn, listener: l}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conns[tracked] = struct{}{}
-	return tracked, nil
+}
+
+// isPassing reports whether a later Accept may succeed: descriptors or memory were short,
+// or the client has gone.
+func isPassing(err error) bool {
+	for _, passing := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, passing) {
+			return true
+		}
+	}
+	return false
 }
 
 // closeIdle closes the connections on which no request has begun since the last answer.
--- a/internal/process/web/web.go
+++ b/internal/process/web/web.go
@@ -43,7 +43,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", addr, err)
 	}
-	tracking := newTrackingListener(ln)
+	return newServer(ln, nil, extra...), nil
+}
+
+// newServer returns a server on ln. A nil guard protects it from nothing.
+func newServer(ln net.Listener, guard *Guard, extra ...config.Option) *Server {
+	tracking := newTrackingListener(ln, guard)
 	options := []config.Option{
 		server.WithListener(tracking),
 		server.WithTransport(standard.NewTransporter),
@@ -55,7 +60,7 @@
 	bound := ln.Addr().(*net.TCPAddr).AddrPort()
 	s := &Server{Hertz: h, addr: bound, result: make(chan error, 1), listener: tracking}
 	h.Use(s.countRequest)
-	return s, nil
+	return s
 }
 
 // countRequest counts the requests in progress.
--- a/internal/program/scheduler.go
+++ b/internal/program/scheduler.go
@@ -76,6 +76,7 @@
 // schedulerProcess is a running siskin-scheduler.
 type schedulerProcess struct {
 	logger    *logrus.Logger
+	clients   *clientGuards
 	store     *platform.Store
 	advisor   *platform.Advisor
 	machines  *platform.Machines
@@ -99,7 +100,7 @@
 		return nil, fmt.Errorf("register metric: %w", err)
 	}
 	storeClient := platform.NewStore(client, s.Store)
-	p := &schedulerProcess{logger: logger, store: storeClient}
+	p := &schedulerProcess{logger: logger, store: storeClient, clients: newClientGuards(s, logger, registry)}
 	var advisor fleet.Advisor
 	if s.Advice.IsValid() {
 		p.advisor = platform.NewAdvisor(client, s.Advice)
@@ -131,14 +132,14 @@
 		return nil, err
 	}
 	p.node = n
-	if p.intake, err = intake.Start(s.Callers, n, platform.Codec{}, logger); err != nil {
+	if p.intake, err = intake.Start(s.Callers, n, platform.Codec{}, logger, p.clients.guard("callers", p.clients.callers, n.Queues)); err != nil {
 		return nil, err
 	}
-	if p.readiness, err = serveReadiness(s.Readiness, n); err != nil {
+	if p.readiness, err = serveReadiness(s.Readiness, n, p.clients.guard("readiness", p.clients.readiness, n.Queues)); err != nil {
 		return nil, err
 	}
 	if s.Metrics.IsValid() {
-		if p.metrics, err = serveMetrics(s.Metrics, registry); err != nil {
+		if p.metrics, err = serveMetrics(s.Metrics, registry, p.clients.guard("metrics", p.clients.metrics, n.Queues)); err != nil {
 			return nil, err
 		}
 	}
@@ -146,8 +147,8 @@
 }
 
 // serveMetrics serves the metrics of registry at addr.
-func serveMetrics(addr netip.AddrPort, registry metrics.Registry) (*web.Server, error) {
-	w, err := web.Listen(addr)
+func serveMetrics(addr netip.AddrPort, registry metrics.Registry, g web.Guard) (*web.Server, error) {
+	w, err := web.ListenGuarded(addr, g)
 	if err != nil {
 		return nil, err
 	}
@@ -158,8 +159,8 @@
 
 // serveReadiness answers each request at addr with status 200 while the node is ready,
 // else with 503.
-func serveReadiness(addr netip.AddrPort, n *node.Node) (*web.Server, error) {
-	w, err := web.Listen(addr)
+func serveReadiness(addr netip.AddrPort, n *node.Node, g web.Guard) (*web.Server, error) {
+	w, err := web.ListenGuarded(addr, g)
 	if err != nil {
 		return nil, err
 	}
@@ -184,6 +185,7 @@
 // applySettings applies the settings that may change while the process runs.
 func (p *schedulerProcess) applySettings(s settings.Scheduler) {
 	setRuntimeLimits(s)
+	p.clients.setLimits(s)
 	run.SetLevel(p.logger, s.LogLevel)
 	p.stopTimeoutNanos.Store(int64(stopTimeoutShare * float64(settings.Seconds(s.Bounds.ShutdownSeconds))))
 	p.store.SetAddr(s.Store)
--- a/internal/request/header/framing.go
+++ b/internal/request/header/framing.go
@@ -23,9 +23,26 @@
 // maxLengthDigits bounds the number of digits of a Content-Length.
 const maxLengthDigits = 15
 
+// Framing tells how the body of a request is framed.
+type Framing struct {
+	// Length is the size of the body in bytes, 0 without a Content-Length.
+	Length  int
+	Chunked bool
+	// ExpectsContinue is set if the client waits for an interim answer before it sends
+	// the body.
+	ExpectsContinue bool
+}
+
 // CheckFraming checks the header lines of one message, without its start line,
 // against the framing rules of RFC 9112 section 6.
 func CheckFraming(lines []byte) error {
+	_, err := ParseFraming(lines)
+	return err
+}
+
+// ParseFraming is like CheckFraming and returns the framing of a request's body.
+func ParseFraming(lines []byte) (Framing, error) {
+	var f Framing
 	var lengths, codings int
 	for len(lines) > 0 {
 		line := nextLine(&lines)
@@ -33,27 +50,33 @@
 			break
 		}
 		if line[0] == ' ' || line[0] == '\t' {
-			return ErrFoldedLine
+			return f, ErrFoldedLine
 		}
 		name, value, _ := bytes.Cut(line, []byte{':'})
 		value = bytes.TrimSpace(value)
 		if bytes.ContainsAny(name, " \t") {
-			return ErrSpaceBeforeColon
+			return f, ErrSpaceBeforeColon
 		}
 		switch {
 		case equalFold(name, "content-length"):
 			lengths++
 			if !isLength(value) {
-				return fmt.Errorf("%w: %q", ErrContentLength, value)
+				return f, fmt.Errorf("%w: %q", ErrContentLength, value)
+			}
+			for _, digit := range value {
+				f.Length = 10*f.Length + int(digit-'0')
 			}
 		case equalFold(name, "transfer-encoding"):
 			codings++
 			if !equalFold(value, "chunked") {
-				return fmt.Errorf("%w: %q", ErrTransferEncoding, value)
+				return f, fmt.Errorf("%w: %q", ErrTransferEncoding, value)
 			}
+			f.Chunked = true
+		case equalFold(name, "expect"):
+			f.ExpectsContinue = equalFold(value, "100-continue")
 		}
 	}
-	return checkFramingCounts(lengths, codings)
+	return f, checkFramingCounts(lengths, codings)
 }
 
 func checkFramingCounts(lengths, codings int) error {
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -40,9 +40,10 @@
 	web    *web.Server
 }
 
-// Start starts a server on addr that passes requests on to n.
-func Start(addr netip.AddrPort, n *node.Node, codec Codec, logger *logrus.Logger) (*Server, error) {
-	w, err := web.Listen(addr)
+// Start starts a server on addr that passes requests on to n. Callers that g turns away do
+// not reach it.
+func Start(addr netip.AddrPort, n *node.Node, codec Codec, logger *logrus.Logger, g web.Guard) (*Server, error) {
+	w, err := web.ListenGuarded(addr, g)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/request/intake/intake_test.go
+++ b/internal/request/intake/intake_test.go
@@ -16,6 +16,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/siskinvane/siskinvane/internal/platform/fleet"
 	"github.com/siskinvane/siskinvane/internal/process/node"
+	"github.com/siskinvane/siskinvane/internal/process/quota"
+	"github.com/siskinvane/siskinvane/internal/process/web"
+	"github.com/siskinvane/siskinvane/internal/request/framing"
 	"github.com/siskinvane/siskinvane/internal/scheduler"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 	"github.com/siskinvane/siskinvane/internal/standin/memnet"
@@ -86,7 +89,12 @@
 	})
 	must.NoError(t, err)
 	t.Cleanup(n.Stop)
-	s, err := Start(netip.MustParseAddrPort("127.0.0.1:0"), n, countCodec{}, logger)
+	guard := web.Guard{
+		Quota:        quota.New(quota.Limits{Connections: 100, Bytes: 16 << 20}),
+		Limits:       func() framing.Limits { return framing.Limits{Head: 16 << 10, Body: 16 << 10} },
+		OnTurnedAway: func(r web.Refusal) { t.Errorf("turned away: %s", r) },
+	}
+	s, err := Start(netip.MustParseAddrPort("127.0.0.1:0"), n, countCodec{}, logger, guard)
 	must.NoError(t, err)
 	fx.addr = s.web.Addr().String()
 	t.Cleanup(func() {
