Short requests are not held up by crowds of long ones

Change: what arrives of a request beyond 8 KiB or 16 pieces is taken in by one connection at a time. Blocks of bodies are reused. Clients get a sixth of memory_mb in place of a quarter. Where connections are short the one that has waited longest for its client goes first, idle or unfinished; a request displaces only connections that were idle before it began. A refused client is read for 5 s in place of 1 s, since on a busy machine the answer was reset, and a server that stops does not wait for it.

--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -158,28 +158,33 @@
 }
 
 // choose returns the connection to turn away in favor of c, which is to take the given
-// bytes, or nil if c itself has to go. Where connections are short, idle ones go first, as
-// their clients lose nothing. Where memory is short, requests as large as c's go first.
+// bytes, or nil if c itself has to go. Where connections are short that is the one that has
+// waited longest for its client. Where memory is short, requests as large as c's go first,
+// then connections that have been idle since before c's request, whose clients lose nothing.
 func (q *Quota) choose(c *Connection, bytes int, connectionsShort bool, leaving map[*Connection]bool) *Connection {
-	var longestIdle, largest *Connection
+	var longestIdle, oldest, largest *Connection
 	for v := range q.connections {
+		if v == c || v.state == handled || leaving[v] {
+			continue
+		}
+		if oldest == nil || v.since.Before(oldest.since) {
+			oldest = v
+		}
 		switch {
-		case v == c || leaving[v]:
 		case v.state == idle && (longestIdle == nil || v.since.Before(longestIdle.since)):
 			longestIdle = v
 		case v.state == unfinished && (largest == nil || before(v, v.bytes, largest, largest.bytes)):
 			largest = v
 		}
 	}
-	if largest != nil && !connectionsShort && before(largest, largest.bytes, c, bytes) {
+	switch {
+	case connectionsShort:
+		return oldest
+	case largest != nil && before(largest, largest.bytes, c, bytes):
 		return largest
-	}
-	if longestIdle != nil {
+	case longestIdle != nil && longestIdle.since.Before(c.since):
 		return longestIdle
 	}
-	if connectionsShort {
-		return largest
-	}
 	return nil
 }
 
--- a/internal/process/web/guard.go
+++ b/internal/process/web/guard.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strconv"
 	"syscall"
 	"time"
@@ -29,6 +30,9 @@
 	// OnTurnedAway is called for each connection or request that is turned away. It must
 	// not block.
 	OnTurnedAway func(Refusal)
+
+	// turn holds a token while bytes of a long request are taken in.
+	turn chan struct{}
 }
 
 // Refusal is a reason for which a client is turned away.
@@ -67,7 +71,7 @@
 	answerTimeout = 3 * time.Minute
 	// lingerTimeout and lingerBytes bound what is read and dropped after a refusal.
 	// Closing a connection with unread bytes can destroy the answer.
-	lingerTimeout = time.Second
+	lingerTimeout = 5 * time.Second
 	lingerBytes   = 256 << 10
 	// receiveBuffer is the kernel's buffer for unread bytes of a connection.
 	receiveBuffer = 32 << 10
@@ -75,6 +79,10 @@
 	// handled. Of the rest the library holds handlingCopies copies.
 	smallRequestBytes = 8 << 10
 	handlingCopies    = 6
+	// fewReads is how many pieces a request may have, and smallRequestBytes how many bytes,
+	// before it waits for its turn among those that are longer. Without turns a request of
+	// one piece would wait for the processor as long as all of them.
+	fewReads = 16
 	// keptRequestBytes is the largest request after which a connection stays open.
 	keptRequestBytes = 16 << 10
 )
@@ -94,6 +102,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", addr, err)
 	}
+	g.turn = make(chan struct{}, 1)
 	s := newServer(ln, &g, server.WithMaxKeepBodySize(keptRequestBytes))
 	s.Use(closeAfterLargeRequest)
 	return s, nil
@@ -161,9 +170,19 @@
 	c.request.Reset(c.guard.Limits())
 	input := c.ahead
 	c.ahead = nil
-	for {
+	received := 0
+	for reads := 0; ; reads++ {
 		begun := c.request.Begun()
+		received += len(input)
+		isLong := received > smallRequestBytes || reads > fewReads
+		if isLong {
+			c.guard.turn <- struct{}{}
+		}
 		n, done, err := c.request.Feed(input)
+		if isLong {
+			<-c.guard.turn
+			runtime.Gosched()
+		}
 		switch {
 		case errors.Is(err, framing.ErrHeadTooLarge):
 			return c.refuse(HeadTooLarge, scratch)
@@ -217,6 +236,8 @@
 	c.guard.Quota.Rest(c.entry, time.Now())
 	c.request.Reset(framing.Limits{})
 	c.guard.OnTurnedAway(r)
+	// A server that stops need not wait for what is dropped.
+	c.requestBegun.Store(false)
 	retryAfter := ""
 	if r == NoRoom {
 		// The delay is spread so that not all clients return at once.
@@ -255,8 +276,9 @@
 	return c.trackedConn.Write(p)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It is called by the connection's reader.
 func (c *guardedConn) Close() error {
 	c.guard.Quota.Remove(c.entry)
+	c.request.Reset(framing.Limits{})
 	return c.trackedConn.Close()
 }
--- a/internal/program/clients.go
+++ b/internal/program/clients.go
@@ -20,7 +20,7 @@
 const (
 	// clientMemoryShare and clientDescriptorShare are what clients' connections and
 	// requests may take of the process's memory and descriptors.
-	clientMemoryShare     = 0.25
+	clientMemoryShare     = 1.0 / 6
 	clientDescriptorShare = 0.5
 	// connectionMemoryShare is the part of that memory that connections may take. The
 	// rest is for requests.
--- a/internal/request/framing/framing.go
+++ b/internal/request/framing/framing.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"sync"
 
 	"github.com/siskinvane/siskinvane/internal/request/header"
 )
@@ -58,8 +59,8 @@
 	limits Limits
 	state  state
 	head   []byte
-	// body holds blocks of blockBytes, all but the last one full.
-	body  [][]byte
+	// body holds bytes in blocks, all but the last one full.
+	body  []*block
 	bytes int
 	// left is the rest of the body, or of the current chunk.
 	left    int
@@ -73,8 +74,23 @@
 	out [][]byte
 }
 
-// Reset begins a new request.
+// block is a piece of a body.
+type block [blockBytes]byte
+
+var blocks = sync.Pool{New: func() any { return new(block) }}
+
+// releaseBody gives the blocks of the body back.
+func (r *Request) releaseBody() {
+	for i, b := range r.body {
+		r.body[i] = nil
+		blocks.Put(b)
+	}
+	r.body = nil
+}
+
+// Reset begins a new request. What is left of the one before is lost.
 func (r *Request) Reset(l Limits) {
+	r.releaseBody()
 	head := r.head[:0]
 	if cap(head) > keptHeadBytes {
 		head = nil
@@ -170,12 +186,11 @@
 
 // takeBody takes bytes of the body up to the end of a block, of the body or of the chunk.
 func (r *Request) takeBody(p []byte) int {
-	if r.bytes == len(r.body)*blockBytes {
-		r.body = append(r.body, make([]byte, 0, blockBytes))
+	used := r.bytes % blockBytes
+	if used == 0 {
+		r.body = append(r.body, blocks.Get().(*block))
 	}
-	last := &r.body[len(r.body)-1]
-	n := min(len(p), r.left, blockBytes-len(*last))
-	*last = append(*last, p[:n]...)
+	n := copy(r.body[len(r.body)-1][used:], p[:min(len(p), r.left)])
 	r.bytes += n
 	r.left -= n
 	switch {
@@ -263,14 +278,15 @@
 	if r.chunked && r.bytes > 0 {
 		r.out = append(r.out, fmt.Appendf(nil, "%x\r\n", r.bytes))
 	}
-	r.out = append(r.out, r.body...)
+	for i, b := range r.body {
+		r.out = append(r.out, b[:min(blockBytes, r.bytes-i*blockBytes)])
+	}
 	switch {
 	case r.chunked && r.bytes > 0:
 		r.out = append(r.out, []byte("\r\n0\r\n\r\n"))
 	case r.chunked:
 		r.out = append(r.out, []byte("0\r\n\r\n"))
 	}
-	r.body = nil
 }
 
 // Pending reports whether Read has bytes of a complete request left.
@@ -287,5 +303,8 @@
 			r.out = r.out[1:]
 		}
 	}
+	if !r.Pending() {
+		r.releaseBody()
+	}
 	return n
 }
