Only appends end with an outage of the partition, and probes read next to nothing

Change: probes read from the last known end of the log; only appends, which are made again under their sequence number, end when an outage does; an outage begins only after a probe has got no answer.

--- a/internal/process/node/answers.go
+++ b/internal/process/node/answers.go
@@ -81,15 +81,16 @@
 	mu      sync.Mutex
 	silence unservedTime
 	timer   *time.Timer
+	// checks counts the checks since the silence began.
+	checks int
 	// servedAt is when the store last served a call; served is closed at the next one.
 	servedAt time.Duration
 	served   chan struct{}
 	// awayCtx is done during an outage, that is once the silence exceeds outageThreshold.
 	awayCtx context.Context
 	setAway context.CancelFunc
-	// callCtx is done when an outage ends: a call from before may wait on a connection that
-	// stays silent.
-	callCtx   context.Context
+	// outageCtx is done when an outage ends.
+	outageCtx context.Context
 	endOutage context.CancelFunc
 	closed    bool
 }
@@ -97,7 +98,7 @@
 func newPartitionAnswers(clock bootclock.Clock, probe func(), changed func(away bool, lasted time.Duration)) *partitionAnswers {
 	a := &partitionAnswers{clock: clock, probe: probe, changed: changed, served: make(chan struct{})}
 	a.awayCtx, a.setAway = context.WithCancel(context.Background())
-	a.callCtx, a.endOutage = context.WithCancel(context.Background())
+	a.outageCtx, a.endOutage = context.WithCancel(context.Background())
 	return a
 }
 
@@ -111,22 +112,18 @@
 	}
 }
 
-// observe makes a call for a caller that waits until ctx is done. The call's own context is also
-// done when an outage ends; the call is then made again by its caller.
-func (a *partitionAnswers) observe(ctx context.Context, call func(context.Context) error) error {
+// observe makes a call for a caller that waits until ctx is done.
+func (a *partitionAnswers) observe(ctx context.Context, call func() error) error {
 	sent := a.clock()
 	a.mu.Lock()
 	waiting := a.silence.lasts(sent) > 0 || a.silence.underway > 0
 	a.silence.begin(sent)
 	if !waiting {
+		a.checks = 0
 		a.schedule()
 	}
-	callCtx := a.callCtx
 	a.mu.Unlock()
-	limited, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(callCtx, cancel)()
-	err := call(limited)
+	err := call()
 	now := a.clock()
 	a.end(now, resultOf(err, ctx.Err() != nil && now-sent < probeInterval))
 	return err
@@ -159,8 +156,9 @@
 	if away {
 		a.awayCtx, a.setAway = context.WithCancel(context.Background())
 		a.endOutage()
-		a.callCtx, a.endOutage = context.WithCancel(context.Background())
+		a.outageCtx, a.endOutage = context.WithCancel(context.Background())
 	}
+	a.checks = 0
 	if a.silence.underway > 0 {
 		a.schedule()
 	} else if a.timer != nil {
@@ -183,11 +181,13 @@
 	}
 }
 
-// check starts a probe if the silence goes on, and an outage if it has lasted for outageThreshold.
+// check starts a probe if the silence goes on, and an outage if it has lasted for outageThreshold and
+// a probe has got no answer: the time may have passed while the host was suspended.
 func (a *partitionAnswers) check() {
 	a.mu.Lock()
 	lasted := a.silence.lasts(a.clock())
-	begins := lasted >= outageThreshold && a.awayCtx.Err() == nil
+	a.checks++
+	begins := lasted >= outageThreshold && a.checks > 1 && a.awayCtx.Err() == nil
 	if begins {
 		a.setAway()
 	}
@@ -222,8 +222,22 @@
 	a.mu.Lock()
 	awayCtx := a.awayCtx
 	a.mu.Unlock()
+	return alsoUntil(ctx, awayCtx)
+}
+
+// untilRegained returns a context that is also cancelled when an outage ends, for calls that are
+// then made again: they may wait on a connection that stays silent.
+func (a *partitionAnswers) untilRegained(ctx context.Context) (context.Context, context.CancelFunc) {
+	a.mu.Lock()
+	outageCtx := a.outageCtx
+	a.mu.Unlock()
+	return alsoUntil(ctx, outageCtx)
+}
+
+// alsoUntil returns a context that is done when ctx or other is.
+func alsoUntil(ctx, other context.Context) (context.Context, context.CancelFunc) {
 	limited, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(awayCtx, cancel)
+	stop := context.AfterFunc(other, cancel)
 	return limited, func() { stop(); cancel() }
 }
 
--- a/internal/process/node/answers_test.go
+++ b/internal/process/node/answers_test.go
@@ -177,3 +177,25 @@
 		c.stop(n)
 	})
 }
+
+// TestSuspendedHostDoesNotTakePartitionForAway guards against a host that refuses jobs when it wakes up, since
+// a read was under way while it was suspended.
+func TestSuspendedHostDoesNotTakePartitionForAway(t *testing.T) {
+	now, probes := time.Duration(0), 0
+	a := newPartitionAnswers(func() time.Duration { return now }, func() { probes++ }, func(bool, time.Duration) {})
+	defer a.close()
+	must.NoError(t, a.observe(t.Context(), func() error {
+		now = 5 * time.Second
+		a.check()
+		_, away := a.away()
+		must.False(t, away)
+		must.Eq(t, 1, probes)
+		now += probeInterval
+		a.check()
+		_, away = a.away()
+		must.True(t, away)
+		return nil
+	}))
+	_, away := a.away()
+	must.False(t, away)
+}
--- a/internal/process/node/instrumented.go
+++ b/internal/process/node/instrumented.go
@@ -59,9 +59,14 @@
 func (s *instrumentedStore) Append(ctx context.Context, p store.Partition, records []store.Record, w *store.Writer) (platform.Offset, error) {
 	started := s.clock()
 	var offset platform.Offset
-	err := s.observe(ctx, p, func(ctx context.Context) (err error) {
+	err := s.observe(ctx, p, func() (err error) {
 		ctx, cancel := context.WithTimeout(ctx, s.appendTimeout.next())
 		defer cancel()
+		if s.shard != nil {
+			var stop context.CancelFunc
+			ctx, stop = s.shard.untilRegained(ctx)
+			defer stop()
+		}
 		offset, err = s.Store.Append(ctx, p, records, w)
 		return err
 	})
@@ -80,7 +85,7 @@
 func (s *instrumentedStore) Read(ctx context.Context, p store.Partition, from platform.Offset, wait time.Duration) (store.Page, error) {
 	started := s.clock()
 	var page store.Page
-	err := s.observe(ctx, p, func(ctx context.Context) (err error) {
+	err := s.observe(ctx, p, func() (err error) {
 		page, err = s.Store.Read(ctx, p, from, wait)
 		return err
 	})
@@ -89,9 +94,9 @@
 }
 
 // observe makes a call to a partition, and has it observed if the partition is the shard's.
-func (s *instrumentedStore) observe(ctx context.Context, p store.Partition, call func(context.Context) error) error {
+func (s *instrumentedStore) observe(ctx context.Context, p store.Partition, call func() error) error {
 	if s.shard == nil || p != s.partition {
-		return call(ctx)
+		return call()
 	}
 	return s.shard.observe(ctx, call)
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -101,8 +101,8 @@
 	// while they were read, which can take several reads. It is not set while a host that
 	// has fallen behind what the log retains loads the table again.
 	loaded atomic.Bool
-	// readTo is the offset up to which the log was last read.
-	readTo atomic.Uint64
+	// logEnd is the end of the log as of the last answered read.
+	logEnd atomic.Uint64
 	// readToken holds a token while reader and unreadSince are in use.
 	readToken chan struct{}
 	reader    *keyed.Reader
@@ -402,7 +402,7 @@
 		}
 		n.applyChanges(changes, n.unreadSince)
 		n.unreadSince = 0
-		n.readTo.Store(uint64(n.reader.Position()))
+		n.logEnd.Store(uint64(changes.End))
 		// A load may have begun long before this call, so its end is not that of the log.
 		if !changes.All && n.reader.Position() >= changes.End {
 			n.caughtUpAt.Store(int64(sent))
--- a/internal/process/node/write.go
+++ b/internal/process/node/write.go
@@ -314,10 +314,10 @@
 // to the shard's partition.
 func (n *Node) Outage() time.Duration { return max(n.joinOutage(), n.answers.lasts()) }
 
-// probePartition reads the shard's partition to learn whether the store serves it. What is read
-// is left to the next regular read.
+// probePartition reads the shard's partition from its last known end on, which is little, to learn
+// whether the store serves it. What is read is left to the next regular read.
 func (n *Node) probePartition() {
-	if from := n.readTo.Load(); from > 0 {
+	if from := n.logEnd.Load(); from > 0 {
 		go func() { _, _ = n.Store.Read(n.ctx, n.partition, platform.Offset(from), 0) }()
 	}
 }
