--- a/internal/experiment/day/evacuation.go
+++ b/internal/experiment/day/evacuation.go
@@ -69,12 +69,15 @@
 // checkStart records a violation if a host that reads the operators' records starts a task on a
 // worker whose domain was evacuated in time for it to know.
 func (e *evacuations) checkStart(now time.Duration, h *host, w fleet.Worker, o fleet.StartOrder) {
-	since, replies := h.view.RepliesSince()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	at, evacuated := e.since[w.Domain]
+	if !evacuated {
+		return
+	}
+	since, replies := h.view.RepliesSince()
 	known := max(at, since, time.Duration(h.startedAt.Load()))
-	if evacuated && replies && now > known+evacuationBound {
+	if replies && now > known+evacuationBound {
 		e.violations = append(e.violations, fmt.Sprintf("EVAC: %v on %s of domain %s, evacuated %v before, by host %d", o.Task, w.ID, w.Domain, now-at, h.index))
 	}
 }
