--- a/internal/scheduler/evacuation.go
+++ b/internal/scheduler/evacuation.go
@@ -1,10 +1,11 @@
 package scheduler
 
 import (
-	"github.com/siskinvane/siskinvane/internal/platform"
-	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 	"maps"
 	"slices"
+
+	"github.com/siskinvane/siskinvane/internal/platform"
+	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
 // An evacuated failure domain gets no start orders until it is taken back. What runs there
