--- a/internal/process/node/declarations_test.go
+++ b/internal/process/node/declarations_test.go
@@ -13,6 +13,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/process/event"
+	"github.com/siskinvane/siskinvane/internal/scheduler"
 	"github.com/siskinvane/siskinvane/internal/version/queue"
 )
 
@@ -107,3 +108,24 @@
 		c.stop(n)
 	})
 }
+
+// TestOwnerWithoutEvacuationsLeavesShardToOthers guards against a shard that stays with a host that
+// may start nothing, since it has never read what operators evacuate, while another one has.
+func TestOwnerWithoutEvacuationsLeavesShardToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCluster()
+		c.workers = func(string) *testWorkers { return newTestWorkers(2) }
+		c.declarations = make(scriptedDeclarations)
+		limits := scheduler.Bounds{MaxLease: 10 * time.Second, Evacuation: time.Second}
+		first := c.startHost(t, "h1", 1)
+		first.SetBounds(limits)
+		time.Sleep(2 * time.Second)
+		must.True(t, first.OwnsShard())
+		c.declarations = nil
+		second := c.startHost(t, "h2", 2)
+		second.SetBounds(limits)
+		time.Sleep(maxUnable + 10*time.Second)
+		must.True(t, second.OwnsShard())
+		c.stop(first, second)
+	})
+}
