Plans and lists no longer walk all attempts and copy all rows

A plan that considers every worker, ten a second, walked all attempts of each worker and hashed a key of each to find the stop orders to repeat; each list of what runs on a worker was copied into a map.

Each worker now keeps the attempts whose stop order was not accepted, and an attempt notes in which list it last stood. A list that names an earlier attempt of a task no longer has the stop of the later attempt repeated, which that list does not contain.

--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -57,6 +57,8 @@
 	// its end may be behind those listed.
 	unendedAt, absentAt Instant
 	endUnread           bool
+	// listedIn is workerState.lists as of the latest lists that contain the attempt as running.
+	listedIn uint64
 	// ranBefore is for how long the attempt is known to have run under earlier owners.
 	ranBefore time.Duration
 	// expectedRun is the run time that was predicted for the attempt, or zero if none was yet.
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/siskinvane/siskinvane/internal/platform"
@@ -263,16 +264,25 @@
 		delete(s.stopsInFlight, key)
 	}
 	worker, ok := s.workers[action.Worker.ID]
-	if !ok || err != nil || answer.Verdict != fleet.Accepted || action.Run != worker.run {
+	if !ok {
+		return
+	}
+	a := worker.attempts[action.Order.Task]
+	if a != nil && (a.number != action.Order.Attempt || a.phase != stopping) {
+		a = nil
+	}
+	if err != nil || answer.Verdict != fleet.Accepted || action.Run != worker.run {
 		// A new run does not know of the orders that an earlier one accepted.
+		if a != nil {
+			worker.unansweredStops = append(worker.unansweredStops, a)
+		}
 		return
 	}
 	worker.clock.update(now, answer.Clock)
 	if start := worker.unansweredStarts[action.Order.Task]; start != nil && start.number <= action.Order.Attempt {
 		start.stopDue = false
 	}
-	a := worker.attempts[action.Order.Task]
-	if a != nil && a.number == action.Order.Attempt && a.phase == stopping {
+	if a != nil {
 		a.phase, a.confirmedAt = stopped, now
 	}
 }
@@ -280,15 +290,17 @@
 // repeatStops repeats the stop orders that were not answered. While the order before is
 // in flight a repeat would only add to what delays it.
 func (s *Shard) repeatStops(now Instant, w *workerState) {
-	for _, a := range w.attempts {
-		if a.phase != stopping || now < a.orderedAt+stopRepeatInterval {
-			continue
+	w.unansweredStops = slices.DeleteFunc(w.unansweredStops, func(a *attempt) bool {
+		if w.attempts[a.ref] != a || a.phase != stopping || s.stopsInFlight[stopKey{w.info.ID, a.ref, a.number}] != 0 {
+			return true
 		}
-		if s.stopsInFlight[stopKey{w.info.ID, a.ref, a.number}] == 0 {
-			a.orderedAt = now
-			s.issueStop(w, a.ref, a.number)
+		if now < a.orderedAt+stopRepeatInterval {
+			return false
 		}
-	}
+		a.orderedAt = now
+		s.issueStop(w, a.ref, a.number)
+		return true
+	})
 	for ref, start := range w.unansweredStarts {
 		if !start.stopDue || now < start.stopOrderedAt+stopRepeatInterval {
 			continue
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -204,17 +204,15 @@
 // reconcileAttempts compares the attempts that a worker lists with those that the owner
 // tracks.
 func (s *Shard) reconcileAttempts(now, sent Instant, w *workerState, list []fleet.Running) {
-	listed := make(map[job.TaskRef]platform.Attempt, len(list))
+	w.lists++
 	for _, r := range list {
-		listed[r.Task] = r.Attempt
-		s.observeRunning(now, w, r)
-		s.repeatOverdueStop(now, sent, w.attempts[r.Task])
-	}
-	for ref, a := range w.attempts {
-		if n, ok := listed[ref]; ok && n == a.number {
-			continue
+		if a := s.observeRunning(now, w, r); a != nil {
+			a.listedIn = w.lists
+			s.repeatOverdueStop(now, sent, a)
 		}
-		if !a.mustBeListed(sent) {
+	}
+	for _, a := range w.attempts {
+		if a.listedIn == w.lists || !a.mustBeListed(sent) {
 			continue
 		}
 		if a.absentAt == 0 {
@@ -264,14 +262,15 @@
 	s.issueStop(a.worker, a.ref, a.number)
 }
 
-// observeRunning applies one listed running attempt. An untracked attempt was started
-// by an earlier owner or by an order that was carried out late.
-func (s *Shard) observeRunning(now Instant, w *workerState, r fleet.Running) {
+// observeRunning applies one listed running attempt and returns it, or nil if a later attempt of
+// the task is tracked. An untracked attempt was started by an earlier owner or by an order that
+// was carried out late.
+func (s *Shard) observeRunning(now Instant, w *workerState, r fleet.Running) *attempt {
 	a := w.attempts[r.Task]
 	if a != nil && a.number != r.Attempt {
 		if a.number > r.Attempt {
 			s.ensureStop(w, r.Task, r.Attempt)
-			return
+			return nil
 		}
 		s.loseAttempt(now, a, "another attempt runs")
 		a = nil
@@ -297,6 +296,7 @@
 	if t != nil && r.Checkpoint != "" {
 		t.saveCheckpoint(r.Checkpoint)
 	}
+	return a
 }
 
 // saveCheckpoint stores the state from which a task resumes. The checkpoint of any
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -58,6 +58,8 @@
 	// its clock at that time.
 	listsReadAt Instant
 	listsClock  platform.WorkerTime
+	// lists counts the lists that were applied.
+	lists uint64
 	// renewalDue is until when the answer to a renew order may take that was sent while the
 	// worker's run was certain, or zero if none is awaited.
 	renewalDue Instant
@@ -110,6 +112,9 @@
 	// out. A new run of the worker would accept them, since it has forgotten the later
 	// orders that made the old run refuse them.
 	unansweredStarts map[job.TaskRef]*unansweredStart
+	// unansweredStops are the attempts whose stop order was not accepted, and some that have
+	// ended since.
+	unansweredStops []*attempt
 }
 
 // workerFor returns the state of a worker, creating it if needed.
