A burst's stops and ends share log lines

In one report the first hundred stops and ends get a line each, as before; the others are counted by job and by reason or kind (7121, 7122). siskinctl's history counts them too.

--- a/internal/ctl/history/print.go
+++ b/internal/ctl/history/print.go
@@ -143,6 +143,12 @@
 		s.lost[stringField(l.Fields, "reason")]++
 	case event.StopOrdered.Number:
 		s.stopped[stringField(l.Fields, "reason")]++
+	case event.StopsOrdered.Number:
+		s.stopped[stringField(l.Fields, "reason")] += int(numberField(l.Fields, "stops"))
+	case event.AttemptsEnded.Number:
+		if l.Fields["how"] == "failed" {
+			s.failed += int(numberField(l.Fields, "attempts"))
+		}
 	case event.StepWaiting.Number:
 		if s.longestWait == nil || numberField(l.Fields, "waited_ms") > numberField(s.longestWait.Fields, "waited_ms") {
 			s.longestWait = &l
--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -10,6 +10,7 @@
 	"github.com/siskinvane/siskinvane/internal/platform/fleet"
 	"github.com/siskinvane/siskinvane/internal/process/event"
 	"github.com/siskinvane/siskinvane/internal/scheduler"
+	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
 // reportActivity logs and counts what the shard has decided and observed since the last
@@ -26,12 +27,7 @@
 			"waited_ms": note.Waited.Milliseconds(), "answer_ms": note.Answer.Milliseconds(),
 		})
 	}
-	for _, note := range n.Ended {
-		d.counter("attempts.ended_" + string(note.Kind)).Inc(1)
-		event.AttemptEnded.Log(d.Logger, logrus.Fields{
-			"task": note.Task.String(), "attempt": note.Attempt, "worker": note.Worker, "how": note.Kind, "ran_ms": note.Ran.Milliseconds(),
-		})
-	}
+	d.reportEnded(n.Ended)
 	for _, note := range n.JobsEnded {
 		d.counter("jobs." + note.State.String()).Inc(1)
 		event.JobEnded.Log(d.Logger, logrus.Fields{
@@ -56,12 +52,7 @@
 		d.counter("attempts.paced").Inc(1)
 		event.TaskPaced.Log(d.Logger, logrus.Fields{"task": note.Task.String(), "worker": note.Worker, "percent": note.Percent})
 	}
-	for _, note := range n.Stopped {
-		d.counter("attempts.stopped").Inc(1)
-		event.StopOrdered.Log(d.Logger, logrus.Fields{
-			"task": note.Task.String(), "attempt": note.Attempt, "worker": note.Worker, "reason": note.Reason,
-		})
-	}
+	d.reportStopped(n.Stopped)
 	for _, note := range n.Lost {
 		d.counter("attempts.lost").Inc(1)
 		d.counter("attempts.lost_" + strings.ReplaceAll(note.Reason, " ", "_")).Inc(1)
@@ -118,6 +109,56 @@
 	}
 }
 
+// maxNoteLines is the number of notes of one kind that get a log line each in one report. Jobs make
+// as many stops and ends at once as they have tasks, so the others are counted by job.
+const maxNoteLines = 100
+
+// noteGroup are notes that share a log line.
+type noteGroup struct {
+	job job.ID
+	// kind is the reason of stops or the kind of ends.
+	kind string
+}
+
+// reportStopped logs and counts the tasks that were ordered to stop.
+func (d *Dispatcher) reportStopped(notes []scheduler.StoppedNote) {
+	d.counter("attempts.stopped").Inc(int64(len(notes)))
+	further := map[noteGroup]int{}
+	for i, note := range notes {
+		if i >= maxNoteLines {
+			further[noteGroup{note.Task.Job, note.Reason}]++
+			continue
+		}
+		event.StopOrdered.Log(d.Logger, logrus.Fields{
+			"task": note.Task.String(), "attempt": note.Attempt, "worker": note.Worker, "reason": note.Reason,
+		})
+	}
+	for g, count := range further {
+		event.StopsOrdered.Log(d.Logger, logrus.Fields{"job": g.job, "reason": g.kind, "stops": count})
+	}
+}
+
+// reportEnded logs and counts the attempts whose ends workers have listed.
+func (d *Dispatcher) reportEnded(notes []scheduler.EndedNote) {
+	kinds, further := map[fleet.EndKind]int64{}, map[noteGroup]int{}
+	for i, note := range notes {
+		kinds[note.Kind]++
+		if i >= maxNoteLines {
+			further[noteGroup{note.Task.Job, string(note.Kind)}]++
+			continue
+		}
+		event.AttemptEnded.Log(d.Logger, logrus.Fields{
+			"task": note.Task.String(), "attempt": note.Attempt, "worker": note.Worker, "how": note.Kind, "ran_ms": note.Ran.Milliseconds(),
+		})
+	}
+	for kind, count := range kinds {
+		d.counter("attempts.ended_" + string(kind)).Inc(count)
+	}
+	for g, count := range further {
+		event.AttemptsEnded.Log(d.Logger, logrus.Fields{"job": g.job, "how": g.kind, "attempts": count})
+	}
+}
+
 // reportWaiting updates the gauges of tasks that wait for a worker, by priority, and of what goes
 // on in evacuated failure domains.
 func (d *Dispatcher) reportWaiting() {
--- a/internal/process/event/job.go
+++ b/internal/process/event/job.go
@@ -26,6 +26,8 @@
 	WorkerLostUnderTask = declare(7118, logrus.InfoLevel, "worker lost under a task")
 	TaskOnTrial         = declare(7119, logrus.InfoLevel, "task on trial")
 	WorkerReserved      = declare(7120, logrus.InfoLevel, "worker reserved for a step")
+	StopsOrdered        = declare(7121, logrus.InfoLevel, "further tasks ordered to stop")
+	AttemptsEnded       = declare(7122, logrus.InfoLevel, "further attempts ended")
 
 	StartNotAccepted = declare(7101, logrus.InfoLevel, "start not accepted")
 	AdviceFailed     = declare(7104, logrus.WarnLevel, "advice not given")
