The cost of a burst of stops no longer grows with what else runs, nor with the processor's lag

Three causes remained. And the time for which answers waited in the busy process counted as congestion of the link, so the window stayed near its least size, which made answers rarer still.

- Orders to a worker to which many wait go out in batches, several requests in one write to one connection (HTTP/1.1 pipelining).
A batch doubles while it is answered soon, up to 64, and a worker that leaves a part unanswered gets smaller ones, or single orders.
- The next list of such a worker is requested once it has accepted a stop for each four rows of the last one, or after 0.6 s.
All lists together pause for a quarter of the processor at most.
- The window grows and shrinks on the part of the answer time that the process's own lag does not explain.
Above 280 ms it shrinks in any case, since orders time out after 400 ms.

--- a/internal/connection/httpcall/httpcall.go
+++ b/internal/connection/httpcall/httpcall.go
@@ -45,11 +45,13 @@
 	// hosts maps an address to the weak.Pointer[http1.HostClient] that holds its keep-alive
 	// connections. hertz drops hosts that are no longer called.
 	hosts *sync.Map
+	// pipelines are the connections of DoAll.
+	pipelines *pipelines
 }
 
 // New returns a Client with a connection pool of its own.
 func New() (*Client, error) {
-	c := &Client{hosts: &sync.Map{}}
+	c := &Client{hosts: &sync.Map{}, pipelines: newPipelines()}
 	var err error
 	if c.keepAlive, err = newPool(true, client.WithHostClientConfigHook(c.rememberHost)); err != nil {
 		return nil, err
--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -179,6 +179,18 @@
 // attempt that is in neither list has come to is then not known.
 func (r RenewReply) EndsGoOn() bool { return len(r.Ended) >= MaxListedEnds }
 
+// BatchStopper is implemented by clients of workers that send several stop orders to one worker at a
+// fraction of their cost. It returns the outcome of each order, as Workers.Stop does.
+type BatchStopper interface {
+	StopAll(ctx context.Context, w Worker, orders []StopOrder) []StopOutcome
+}
+
+// StopOutcome is the outcome of a stop order.
+type StopOutcome struct {
+	Answer Answer
+	Err    error
+}
+
 // Workers sends orders to workers. An error matches platform.ErrOutcomeUnknown if
 // the order may have taken effect or may still do so; otherwise it certainly had
 // no effect.
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -90,6 +90,7 @@
 	// stops are the stop orders. stopTimer is set while a goroutine waits for one to be overdue.
 	stops     stopQueue
 	stopTimer bool
+	lists     listSizes
 	// recorded is closed and replaced each time progress has been recorded.
 	recorded chan struct{}
 	// renewing holds the workers for which a renewLoop runs, each with the channel that ends
@@ -112,8 +113,9 @@
 // New returns a dispatcher for one ownership of a shard. It does nothing before Start.
 func New(c Config) *Dispatcher {
 	ctx, cancel := context.WithCancel(context.Background())
+	_, batches := c.Workers.(fleet.BatchStopper)
 	d := &Dispatcher{
-		Config: c, ctx: ctx, cancel: cancel, starts: newStartWindow(), stops: newStopQueue(),
+		Config: c, ctx: ctx, cancel: cancel, starts: newStartWindow(), stops: newStopQueue(batches), lists: listSizes{rows: map[platform.WorkerID]int{}},
 		firstContacts: make(chan struct{}, maxFirstContacts),
 		planRequested: make(chan struct{}, 1), recordRequested: make(chan struct{}, 1),
 		stopRequested: make(chan struct{}), finalRecordDone: make(chan struct{}),
--- a/internal/process/dispatch/flow_test.go
+++ b/internal/process/dispatch/flow_test.go
@@ -248,6 +248,11 @@
 // withLinkedWorkers calls f in virtual time with a running dispatcher that has
 // contacted the workers.
 func withLinkedWorkers(t *testing.T, l *linkedWorkers, workers int, f func(d *Dispatcher)) {
+	withWorkers(t, l, workers, f)
+}
+
+// withWorkers is withLinkedWorkers for any client of workers.
+func withWorkers(t *testing.T, l fleet.Workers, workers int, f func(d *Dispatcher)) {
 	synctest.Test(t, func(t *testing.T) {
 		logger := logrus.New()
 		logger.SetOutput(io.Discard)
--- a/internal/process/dispatch/orders.go
+++ b/internal/process/dispatch/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"github.com/sirupsen/logrus"
 	"github.com/siskinvane/siskinvane/internal/platform/fleet"
@@ -113,8 +114,8 @@
 	if d.ctx.Err() != nil {
 		return
 	}
-	for o := d.stops.next(now); o != nil; o = d.stops.next(now) {
-		d.goroutines.Go(func() { d.sendStop(o) })
+	for b := d.stops.next(now); b != nil; b = d.stops.next(now) {
+		d.goroutines.Go(func() { d.sendStopBatch(b) })
 	}
 	if until, heldUp := d.stops.heldUpUntil(); heldUp && !d.stopTimer {
 		d.stopTimer = true
@@ -129,28 +130,53 @@
 	}
 }
 
-func (d *Dispatcher) sendStop(o *stopOrder) {
-	answer, err := fleet.Answer{}, ErrFenced
+// sendStopBatch sends a batch of stop orders and takes in their outcomes.
+func (d *Dispatcher) sendStopBatch(b *stopBatch) {
+	outcomes := slices.Repeat([]fleet.StopOutcome{{Err: ErrFenced}}, len(b.orders))
 	mayAct := d.MayAct()
 	if mayAct {
-		d.timer("stops.queued").Update(o.sentAt - o.planned)
-		answer, err = d.Workers.Stop(d.ctx, o.Worker, o.Order)
-	}
-	if answer.Verdict == fleet.RefusedFenced {
-		d.Relinquish(ErrFenced)
-		return
+		d.timer("stops.queued").Update(b.sentAt - b.orders[0].planned)
+		outcomes = d.stopAll(b.orders)
+	}
+	answers := 0
+	for _, o := range outcomes {
+		if o.Answer.Verdict == fleet.RefusedFenced {
+			d.Relinquish(ErrFenced)
+			return
+		}
+		if o.Err == nil {
+			answers++
+		}
 	}
 	d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) {
 		if mayAct {
-			d.stops.adjust(now, now-o.sentAt, err == nil)
-			d.stops.noteAnswer(now, o.Worker.ID, err == nil)
+			d.stops.adjust(now, b, now-b.sentAt, answers == len(outcomes))
+			d.stops.noteAnswers(now, b.worker, answers, answers < len(outcomes))
 		}
-		d.stops.release(o)
+		d.stops.release(b)
 		d.sendStops(now)
-		s.StopAnswered(now, o.StopAction, answer, err)
+		for i, o := range outcomes {
+			s.StopAnswered(now, b.orders[i].StopAction, o.Answer, o.Err)
+		}
 	})
 }
 
+// stopAll sends stop orders to one worker, several of them in one call if the client of the workers
+// can do that.
+func (d *Dispatcher) stopAll(orders []stopOrder) []fleet.StopOutcome {
+	w := orders[0].Worker
+	batcher, ok := d.Workers.(fleet.BatchStopper)
+	if !ok || len(orders) == 1 {
+		answer, err := d.Workers.Stop(d.ctx, w, orders[0].Order)
+		return []fleet.StopOutcome{{Answer: answer, Err: err}}
+	}
+	batch := make([]fleet.StopOrder, len(orders))
+	for i, o := range orders {
+		batch[i] = o.Order
+	}
+	return batcher.StopAll(d.ctx, w, batch)
+}
+
 func (d *Dispatcher) sendPace(planned scheduler.Instant, a scheduler.ThrottleAction) {
 	answer, err := fleet.Answer{}, ErrFenced
 	if d.MayAct() {
--- a/internal/process/dispatch/renew.go
+++ b/internal/process/dispatch/renew.go
@@ -134,6 +134,7 @@
 			ok := false
 			if r.worker, r.order, ok = d.shard.RenewOrder(r.sent, id); !ok {
 				delete(d.renewing, id)
+				d.lists.forget(id)
 			}
 			d.mu.Unlock()
 			if !ok || r.order.Wait > 0 {
@@ -154,19 +155,28 @@
 }
 
 // pauseBeforeRenewal delays the next renewal for a worker that answered the last one at
-// answeredAt, while no job waits for its attempts to end or the link is full. The time since
-// then counts, so that the worker's lists do not grow too old to extend its leases.
+// answeredAt, while no job waits for its attempts to end, or the link or the processor is short. The
+// time since then counts, so that the worker's lists do not grow too old to extend its leases.
 func (d *Dispatcher) pauseBeforeRenewal(id platform.WorkerID, answeredAt scheduler.Instant) {
-	now := d.Clock()
 	d.mu.Lock()
-	wait := max(d.shard.RenewPause(id), d.starts.renewPause(), d.stops.renewPause(now, id)) - (now - answeredAt)
+	wait := max(d.shard.RenewPause(id), d.starts.renewPause(), d.lists.renewPause())
 	d.mu.Unlock()
-	if wait > 0 {
-		// The loop ends with the context.
-		_ = pause.For(d.ctx, wait)
+	for {
+		now := d.Clock()
+		d.mu.Lock()
+		stops := d.stops.renewPause(now, id, d.lists.rows[id])
+		d.mu.Unlock()
+		// The pause for the sake of stop orders ends with the orders.
+		left := max(wait, min(stops, now-answeredAt+stopPauseStep)) - (now - answeredAt)
+		if left <= 0 || pause.For(d.ctx, left) != nil {
+			return
+		}
 	}
 }
 
+// stopPauseStep is the time between two looks at the stop orders that delay a renewal.
+const stopPauseStep = 50 * time.Millisecond
+
 // awaitEndsRecorded waits until the first of the worker's ended attempts can be
 // acknowledged, for limit at most, and reports whether it can. Until they are
 // acknowledged, the worker answers every renewal immediately and lists all of them.
@@ -226,6 +236,10 @@
 		// delay until its end is noticed.
 		d.timer("job.end_noticed").Update(d.Clock() - sent)
 	}
-	d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) { s.RenewAnswered(now, sent, w.ID, reply) })
+	d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) {
+		d.lists.set(w.ID, len(reply.Running)+len(reply.Ended))
+		d.stops.noteLists(w.ID)
+		s.RenewAnswered(now, sent, w.ID, reply)
+	})
 	return true
 }
--- a/internal/process/dispatch/stops.go
+++ b/internal/process/dispatch/stops.go
@@ -12,6 +12,8 @@
 	// than that many have waited to be sent to it. The usual few need no more connections than
 	// other orders, maxOrdersPerWorker.
 	maxStopsPerWorker = 16
+	// maxStopBatch bounds the stop orders that are sent to a worker in one call.
+	maxStopBatch = 64
 	// minStopWindow and maxStopWindow bound the stop orders to all workers that wait for their
 	// answers and are not overdue.
 	minStopWindow = 128
@@ -27,6 +29,12 @@
 	// unansweredHold is for how long renewals of a worker pause after an order without an answer:
 	// two repetitions of the order.
 	unansweredHold = time.Second
+	// rowsPerStop bounds the rows that a worker lists for each stop order that it accepts while
+	// more orders wait for it.
+	rowsPerStop = 4
+	// maxStopRenewPause bounds the pause between two renewals of such a worker. Lists that are
+	// older than a second extend no lease.
+	maxStopRenewPause = 600 * time.Millisecond
 )
 
 // stopQueue holds the stop orders of a shard. Jobs, users and faults can make their number as large
@@ -39,9 +47,11 @@
 	// size is the congestion window, counted the orders in it.
 	size    float64
 	counted int
-	// orders are the orders in the window in the order in which they were sent, and some that
+	// maxBatch bounds the orders in a batch.
+	maxBatch int
+	// batches are the batches in the window in the order in which they were sent, and some that
 	// have left it since.
-	orders []*stopOrder
+	batches []*stopBatch
 	// waiting counts the orders that are not sent yet, inFlight those that wait for an answer.
 	waiting, inFlight int
 	workers           map[platform.WorkerID]*workerStops
@@ -64,34 +74,51 @@
 // workerStops are the stop orders to one worker.
 type workerStops struct {
 	id      platform.WorkerID
-	waiting []*stopOrder
-	// inFlight counts the orders that wait for their answers, limit bounds it.
+	waiting []stopOrder
+	// inFlight counts the batches that wait for their answers, limit bounds it.
 	inFlight, limit int
-	inTurns         bool
+	// batch is the number of orders in a batch, maxBatch bounds it. Orders of one batch are
+	// carried out one after the other, so they are as many as the worker answers soon.
+	batch, maxBatch int
+	// accepted counts the orders that were answered since the worker's latest lists.
+	accepted int
+	inTurns  bool
 }
 
-// stopOrder is a stop order that waits, or that was sent at the time sentAt.
+// stopOrder is a stop order that waits.
 type stopOrder struct {
 	scheduler.StopAction
-	planned, sentAt scheduler.Instant
-	counted         bool
+	planned scheduler.Instant
 }
 
-func newStopQueue() stopQueue {
-	return stopQueue{size: minStopWindow, workers: map[platform.WorkerID]*workerStops{}, unansweredAt: map[platform.WorkerID]scheduler.Instant{}, renewing: map[platform.WorkerID]bool{}}
+// stopBatch are stop orders that were sent to a worker together at the time sentAt.
+type stopBatch struct {
+	worker  platform.WorkerID
+	orders  []stopOrder
+	sentAt  scheduler.Instant
+	counted bool
+}
+
+// newStopQueue returns an empty queue. batches is set if several orders may be sent in one call.
+func newStopQueue(batches bool) stopQueue {
+	limit := 1
+	if batches {
+		limit = maxStopBatch
+	}
+	return stopQueue{maxBatch: limit, size: minStopWindow, workers: map[platform.WorkerID]*workerStops{}, unansweredAt: map[platform.WorkerID]scheduler.Instant{}, renewing: map[platform.WorkerID]bool{}}
 }
 
 // add queues an order that was planned at the given time.
 func (q *stopQueue) add(planned scheduler.Instant, a scheduler.StopAction) {
 	w := q.workers[a.Worker.ID]
 	if w == nil {
-		w = &workerStops{id: a.Worker.ID, limit: maxOrdersPerWorker}
+		w = &workerStops{id: a.Worker.ID, limit: maxOrdersPerWorker, batch: 1, maxBatch: q.maxBatch}
 		q.workers[a.Worker.ID] = w
 	}
 	if q.waiting+q.inFlight == 0 {
 		q.answerTime, q.easyAnswer = 0, 0
 	}
-	w.waiting = append(w.waiting, &stopOrder{StopAction: a, planned: planned})
+	w.waiting = append(w.waiting, stopOrder{StopAction: a, planned: planned})
 	if len(w.waiting) > maxStopsPerWorker {
 		w.limit = maxStopsPerWorker
 	}
@@ -112,7 +139,7 @@
 	if _, unanswered := q.unansweredAt[w.id]; unanswered {
 		return w.inFlight == 0 && !q.renewing[w.id]
 	}
-	return w.inFlight < w.limit
+	return w.inFlight < max(maxOrdersPerWorker, w.limit/w.batch)
 }
 
 // beginRenewal takes in that a renewal of a worker is sent.
@@ -126,8 +153,8 @@
 	}
 }
 
-// next returns the next order to send now, or nil if there is none or no room for it.
-func (q *stopQueue) next(now scheduler.Instant) *stopOrder {
+// next returns the next batch to send now, or nil if there is none or no room for it.
+func (q *stopQueue) next(now scheduler.Instant) *stopBatch {
 	q.leaveOverdue(now)
 	for len(q.turns) > 0 && !q.hasRoom(q.turns[0]) {
 		q.endTurn()
@@ -136,17 +163,19 @@
 		return nil
 	}
 	w := q.endTurn()
-	o := w.waiting[0]
-	w.waiting[0] = nil
-	w.waiting = w.waiting[1:]
+	n := 1
+	for n < min(w.batch, len(w.waiting)) && w.waiting[n].Worker.Addr == w.waiting[0].Worker.Addr {
+		n++
+	}
+	b := &stopBatch{worker: w.id, orders: w.waiting[:n:n], sentAt: now, counted: true}
+	w.waiting = w.waiting[n:]
 	w.inFlight++
 	q.takeTurn(w)
-	o.sentAt, o.counted = now, true
-	q.orders = append(q.orders, o)
-	q.waiting--
-	q.inFlight++
-	q.counted++
-	return o
+	q.batches = append(q.batches, b)
+	q.waiting -= n
+	q.inFlight += n
+	q.counted += n
+	return b
 }
 
 // endTurn ends the first turn.
@@ -161,60 +190,73 @@
 // answers faster than that.
 func (q *stopQueue) overdueAfter() time.Duration { return shrinkAbove + q.easyAnswer }
 
-// leaveOverdue frees the room of the orders that have waited for their answers for too long.
+// leaveOverdue frees the room of the batches that have waited for their answers for too long.
 func (q *stopQueue) leaveOverdue(now scheduler.Instant) {
-	for len(q.orders) > 0 && (!q.orders[0].counted || now-q.orders[0].sentAt >= q.overdueAfter()) {
-		q.uncount(q.orders[0])
-		q.orders[0] = nil
-		q.orders = q.orders[1:]
+	for len(q.batches) > 0 && (!q.batches[0].counted || now-q.batches[0].sentAt >= q.overdueAfter()) {
+		q.uncount(q.batches[0])
+		q.batches[0] = nil
+		q.batches = q.batches[1:]
 	}
 }
 
-func (q *stopQueue) uncount(o *stopOrder) {
-	if o.counted {
-		o.counted = false
-		q.counted--
+func (q *stopQueue) uncount(b *stopBatch) {
+	if b.counted {
+		b.counted = false
+		q.counted -= len(b.orders)
 	}
 }
 
 // heldUpUntil returns when the window next has room without a further answer, and whether orders
 // wait for that.
 func (q *stopQueue) heldUpUntil() (scheduler.Instant, bool) {
-	if len(q.turns) == 0 || len(q.orders) == 0 {
+	if len(q.turns) == 0 || len(q.batches) == 0 {
 		return 0, false
 	}
-	return q.orders[0].sentAt + q.overdueAfter(), true
+	return q.batches[0].sentAt + q.overdueAfter(), true
 }
 
-// release takes in that an order is no longer under way.
-func (q *stopQueue) release(o *stopOrder) {
-	q.uncount(o)
-	q.inFlight--
-	w := q.workers[o.Worker.ID]
+// release takes in that a batch is no longer under way.
+func (q *stopQueue) release(b *stopBatch) {
+	q.uncount(b)
+	q.inFlight -= len(b.orders)
+	w := q.workers[b.worker]
 	w.inFlight--
 	q.takeTurn(w)
 	if w.inFlight == 0 && len(w.waiting) == 0 {
-		delete(q.workers, o.Worker.ID)
+		delete(q.workers, b.worker)
 	}
 }
 
-// adjust adjusts the window to an order that was answered after took, or that got no answer within
-// it.
-func (q *stopQueue) adjust(now scheduler.Instant, took time.Duration, answered bool) {
+// adjust adjusts the window and the worker's batches to a batch that was answered after took, or of
+// which an order got no answer within it.
+func (q *stopQueue) adjust(now scheduler.Instant, b *stopBatch, took time.Duration, answered bool) {
+	q.workers[b.worker].adjustBatch(len(b.orders), took, answered)
 	q.observe(took)
 	slower := q.answerTime - q.easyAnswer
+	// Fewer orders would not make a slow process faster, but they must not time out either.
+	onLink := slower - q.lag
 	switch {
-	case slower < growBelow && answered && 2*q.counted >= int(q.size):
-		q.size = min(maxStopWindow, q.size+1)
-	case slower > q.shrinkAbove() && now-q.shrunkAt >= shrinkInterval:
+	case onLink < growBelow && slower < shrinkAbove && answered && 2*q.counted >= int(q.size):
+		q.size = min(maxStopWindow, q.size+float64(len(b.orders)))
+	case (onLink > shrinkAbove || slower > shrinkAboveLagging) && now-q.shrunkAt >= shrinkInterval:
 		q.size = max(minStopWindow, q.size*shrinkFactor)
 		q.shrunkAt = now
 	}
 }
 
-// shrinkAbove is the additional answer time above which the window shrinks. Fewer orders would not
-// make a slow process faster, but they must not time out either.
-func (q *stopQueue) shrinkAbove() time.Duration { return min(shrinkAbove+q.lag, shrinkAboveLagging) }
+// adjustBatch adjusts the batches to one of n orders. A worker that leaves orders of a batch
+// unanswered may take no such batches.
+func (w *workerStops) adjustBatch(n int, took time.Duration, answered bool) {
+	switch {
+	case !answered:
+		w.maxBatch = max(1, min(w.maxBatch, n/2))
+		w.batch = 1
+	case took < growBelow && n >= w.batch && w.limit >= maxStopsPerWorker:
+		w.batch = min(w.maxBatch, 2*w.batch)
+	case took > shrinkAbove:
+		w.batch = max(1, w.batch/2)
+	}
+}
 
 // observe moves the estimated lower quartile of the answer times towards an answer.
 func (q *stopQueue) observe(took time.Duration) {
@@ -229,27 +271,40 @@
 	q.easyAnswer = min(q.easyAnswer, q.answerTime)
 }
 
-// noteAnswer takes in whether a worker has answered an order.
-func (q *stopQueue) noteAnswer(now scheduler.Instant, id platform.WorkerID, answered bool) {
-	if answered {
-		delete(q.unansweredAt, id)
-	} else {
+// noteAnswers takes in how many orders a worker has answered, and whether one got no answer.
+func (q *stopQueue) noteAnswers(now scheduler.Instant, id platform.WorkerID, answers int, unanswered bool) {
+	if unanswered {
 		q.unansweredAt[id] = now
+	} else {
+		delete(q.unansweredAt, id)
+	}
+	if w := q.workers[id]; w != nil {
+		w.accepted += answers
+	}
+}
+
+// noteLists takes in that a worker has answered with its lists.
+func (q *stopQueue) noteLists(id platform.WorkerID) {
+	if w := q.workers[id]; w != nil {
+		w.accepted = 0
 	}
 }
 
 // renewPause returns how long to wait between two renewals of a worker to which many stop orders
-// wait: it lists all that it runs at each end, which takes the room and the processor time of the
-// orders. In the pause of one that has not answered an order, the repeated order is sent.
-func (q *stopQueue) renewPause(now scheduler.Instant, id platform.WorkerID) time.Duration {
+// wait and whose latest lists had the given number of rows. It lists all that it runs at each end,
+// which takes the room and the processor time of the orders, so the next lists wait until it has
+// accepted orders in proportion to them. In the pause of a worker that has not answered an order,
+// the repeated order is sent.
+func (q *stopQueue) renewPause(now scheduler.Instant, id platform.WorkerID, rows int) time.Duration {
 	if at, unanswered := q.unansweredAt[id]; unanswered {
 		if now-at < unansweredHold || q.workers[id] != nil {
 			return maxRenewPause
 		}
 		delete(q.unansweredAt, id)
 	}
-	if w := q.workers[id]; w == nil || w.limit < maxStopsPerWorker || len(w.waiting) == 0 {
+	w := q.workers[id]
+	if w == nil || w.limit < maxStopsPerWorker || len(w.waiting) == 0 || rowsPerStop*(w.accepted-maxStopsPerWorker) >= rows {
 		return 0
 	}
-	return maxRenewPause
+	return maxStopRenewPause
 }
