Stop orders that a caller was promised go first; batches follow what they gain

While an owner cannot send all stop orders at once, those of jobs whose caller was told that they are over waited behind those that only make room for other tasks, such as preemptions. They now go first, the oldest first.

Batches had doubled while they were answered within 75 ms, so that an owner whose own processor was the reason for late answers kept to single orders, which cost it most. They now double while that carries clearly more orders in the same time: not at workers whose own time for each order counts.

TestPromisedStopsWaitForOthers fails with the order of before. The tests of stops beside slow and lost workers, on a narrow link and of a new owner also run with batches that workers carry out one order after the other.

--- a/internal/process/dispatch/stops.go
+++ b/internal/process/dispatch/stops.go
@@ -12,8 +12,15 @@
 	// than that many have waited to be sent to it. The usual few need no more connections than
 	// other orders, maxOrdersPerWorker.
 	maxStopsPerWorker = 16
-	// maxStopBatch bounds the stop orders that are sent to a worker in one call.
+	// maxStopBatch bounds the stop orders that are sent to a worker in one call. Batches double
+	// after batchSamples of the present size, and halve if they take over quickBatch and carry less
+	// than batchGain times the orders in the same time as half that size; batchRetry batches later
+	// they double again.
 	maxStopBatch = 64
+	batchSamples = 3
+	batchGain    = 1.3
+	batchRetry   = 8
+	quickBatch   = 20 * time.Millisecond
 	// minStopWindow and maxStopWindow bound the stop orders to all workers that wait for their
 	// answers and are not overdue.
 	minStopWindow = 128
@@ -55,8 +62,8 @@
 	// waiting counts the orders that are not sent yet, inFlight those that wait for an answer.
 	waiting, inFlight int
 	workers           map[platform.WorkerID]*workerStops
-	// turns are the workers with an order that waits and a free place for it.
-	turns []*workerStops
+	// turns are the workers with an order that waits and a free place for it, by urgency.
+	turns [urgencies][]*workerStops
 	// answerTime is the estimated lower quartile of the answer times, easyAnswer its least value,
 	// both since no order was under way, or zero before the first answer.
 	answerTime, easyAnswer time.Duration
@@ -71,20 +78,35 @@
 	renewing map[platform.WorkerID]bool
 }
 
+// urgency ranks stop orders: what a caller was promised goes before what makes room for others.
+type urgency int
+
+const (
+	promised urgency = iota
+	unpromised
+	urgencies
+)
+
 // workerStops are the stop orders to one worker.
 type workerStops struct {
 	id      platform.WorkerID
-	waiting []stopOrder
+	waiting [urgencies][]stopOrder
 	// inFlight counts the batches that wait for their answers, limit bounds it.
 	inFlight, limit int
-	// batch is the number of orders in a batch, maxBatch bounds it. Orders of one batch are
-	// carried out one after the other, so they are as many as the worker answers soon.
-	batch, maxBatch int
+	// batch is the number of orders in a batch, maxBatch bounds it. fastest is the least time of
+	// the last samples batches of that size, rate the orders a second of the fastest one of half
+	// that size, or zero.
+	batch, maxBatch, samples int
+	fastest                  time.Duration
+	rate                     float64
 	// accepted counts the orders that were answered since the worker's latest lists.
 	accepted int
-	inTurns  bool
+	inTurns  [urgencies]bool
 }
 
+// waits counts the orders that are not sent yet.
+func (w *workerStops) waits() int { return len(w.waiting[promised]) + len(w.waiting[unpromised]) }
+
 // stopOrder is a stop order that waits.
 type stopOrder struct {
 	scheduler.StopAction
@@ -118,8 +140,12 @@
 	if q.waiting+q.inFlight == 0 {
 		q.answerTime, q.easyAnswer = 0, 0
 	}
-	w.waiting = append(w.waiting, stopOrder{StopAction: a, planned: planned})
-	if len(w.waiting) > maxStopsPerWorker {
+	u := unpromised
+	if a.Promised {
+		u = promised
+	}
+	w.waiting[u] = append(w.waiting[u], stopOrder{StopAction: a, planned: planned})
+	if w.waits() > maxStopsPerWorker {
 		w.limit = maxStopsPerWorker
 	}
 	q.waiting++
@@ -128,9 +154,11 @@
 
 // takeTurn lets a worker take turns if it has an order and a place for it.
 func (q *stopQueue) takeTurn(w *workerStops) {
-	if !w.inTurns && len(w.waiting) > 0 && q.hasRoom(w) {
-		w.inTurns = true
-		q.turns = append(q.turns, w)
+	for u := range urgencies {
+		if !w.inTurns[u] && len(w.waiting[u]) > 0 && q.hasRoom(w) {
+			w.inTurns[u] = true
+			q.turns[u] = append(q.turns[u], w)
+		}
 	}
 }
 
@@ -156,19 +184,28 @@
 // next returns the next batch to send now, or nil if there is none or no room for it.
 func (q *stopQueue) next(now scheduler.Instant) *stopBatch {
 	q.leaveOverdue(now)
-	for len(q.turns) > 0 && !q.hasRoom(q.turns[0]) {
-		q.endTurn()
-	}
-	if len(q.turns) == 0 || q.counted >= int(q.size) {
-		return nil
+	for u := range urgencies {
+		for len(q.turns[u]) > 0 && (!q.hasRoom(q.turns[u][0]) || len(q.turns[u][0].waiting[u]) == 0) {
+			q.endTurn(u)
+		}
+		if len(q.turns[u]) > 0 {
+			if q.counted >= int(q.size) {
+				return nil
+			}
+			return q.takeBatch(now, q.endTurn(u), u)
+		}
 	}
-	w := q.endTurn()
-	n := 1
-	for n < min(w.batch, len(w.waiting)) && w.waiting[n].Worker.Addr == w.waiting[0].Worker.Addr {
+	return nil
+}
+
+// takeBatch takes the next orders of a worker as sent.
+func (q *stopQueue) takeBatch(now scheduler.Instant, w *workerStops, u urgency) *stopBatch {
+	waiting, n := w.waiting[u], 1
+	for n < min(w.batch, len(waiting)) && waiting[n].Worker.Addr == waiting[0].Worker.Addr {
 		n++
 	}
-	b := &stopBatch{worker: w.id, orders: w.waiting[:n:n], sentAt: now, counted: true}
-	w.waiting = w.waiting[n:]
+	b := &stopBatch{worker: w.id, orders: waiting[:n:n], sentAt: now, counted: true}
+	w.waiting[u] = waiting[n:]
 	w.inFlight++
 	q.takeTurn(w)
 	q.batches = append(q.batches, b)
@@ -178,11 +215,11 @@
 	return b
 }
 
-// endTurn ends the first turn.
-func (q *stopQueue) endTurn() *workerStops {
-	w := q.turns[0]
-	q.turns = q.turns[1:]
-	w.inTurns = false
+// endTurn ends the first turn of an urgency.
+func (q *stopQueue) endTurn(u urgency) *workerStops {
+	w := q.turns[u][0]
+	q.turns[u] = q.turns[u][1:]
+	w.inTurns[u] = false
 	return w
 }
 
@@ -209,7 +246,7 @@
 // heldUpUntil returns when the window next has room without a further answer, and whether orders
 // wait for that.
 func (q *stopQueue) heldUpUntil() (scheduler.Instant, bool) {
-	if len(q.turns) == 0 || len(q.batches) == 0 {
+	if len(q.turns[promised])+len(q.turns[unpromised]) == 0 || len(q.batches) == 0 {
 		return 0, false
 	}
 	return q.batches[0].sentAt + q.overdueAfter(), true
@@ -222,7 +259,7 @@
 	w := q.workers[b.worker]
 	w.inFlight--
 	q.takeTurn(w)
-	if w.inFlight == 0 && len(w.waiting) == 0 {
+	if w.inFlight == 0 && w.waits() == 0 {
 		delete(q.workers, b.worker)
 	}
 }
@@ -244,20 +281,43 @@
 	}
 }
 
-// adjustBatch adjusts the batches to one of n orders. A worker that leaves orders of a batch
-// unanswered may take no such batches.
+// adjustBatch adjusts the batches to one of n orders. They double while twice the orders take
+// clearly less than twice the time, which holds whatever a call costs and wherever it waits, but not if
+// the worker's own time for each order counts. A worker that leaves a part of a batch unanswered may
+// take no such batches.
 func (w *workerStops) adjustBatch(n int, took time.Duration, answered bool) {
 	switch {
 	case !answered:
 		w.maxBatch = max(1, min(w.maxBatch, n/2))
-		w.batch = 1
-	case took < growBelow && n >= w.batch && w.limit >= maxStopsPerWorker:
-		w.batch = min(w.maxBatch, 2*w.batch)
-	case took > shrinkAbove:
-		w.batch = max(1, w.batch/2)
+		w.setBatch(1, 0)
+		return
+	case n != w.batch || w.limit < maxStopsPerWorker:
+		return
+	case took > shrinkAboveLagging:
+		w.setBatch(max(1, n/2), 0)
+		return
+	}
+	if w.samples++; w.samples <= 1 || took < w.fastest {
+		w.fastest = took
+	}
+	if w.samples < batchSamples {
+		return
+	}
+	rate := float64(n) / max(w.fastest, time.Microsecond).Seconds()
+	switch {
+	case n > 1 && w.fastest >= quickBatch && rate < batchGain*w.rate:
+		w.setBatch(n/2, 0)
+		w.samples = -batchRetry
+	case 2*n <= w.maxBatch && w.fastest < shrinkAbove:
+		w.setBatch(2*n, rate)
+	default:
+		w.samples = 0
 	}
 }
 
+// setBatch sets the size of the batches and the rate with half that size.
+func (w *workerStops) setBatch(n int, rate float64) { w.batch, w.rate, w.samples = n, rate, 0 }
+
 // observe moves the estimated lower quartile of the answer times towards an answer.
 func (q *stopQueue) observe(took time.Duration) {
 	switch {
@@ -303,7 +363,7 @@
 		delete(q.unansweredAt, id)
 	}
 	w := q.workers[id]
-	if w == nil || w.limit < maxStopsPerWorker || len(w.waiting) == 0 || rowsPerStop*(w.accepted-maxStopsPerWorker) >= rows {
+	if w == nil || w.limit < maxStopsPerWorker || w.waits() == 0 || rowsPerStop*(w.accepted-maxStopsPerWorker) >= rows {
 		return 0
 	}
 	return maxStopRenewPause
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -250,9 +250,11 @@
 
 func (s *Shard) issueStop(w *workerState, ref job.TaskRef, number platform.Attempt) {
 	s.stopsInFlight[stopKey{w.info.ID, ref, number}]++
+	j, known := s.jobs[ref.Job]
 	s.pending.Stops = append(s.pending.Stops, StopAction{
 		Worker: w.info, Run: w.run,
-		Order: fleet.StopOrder{Task: ref, Attempt: number, Token: s.epoch},
+		Order:    fleet.StopOrder{Task: ref, Attempt: number, Token: s.epoch},
+		Promised: !known || j.ended(),
 	})
 }
 
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -183,6 +183,8 @@
 	// Run is the worker's run when the order was issued.
 	Run   int64
 	Order fleet.StopOrder
+	// Promised is set if a caller was told that the task's job is over.
+	Promised bool
 }
 
 // ThrottleAction is an order to change the CPU limit of an attempt.
