--- a/internal/process/dispatch/burst_test.go
+++ b/internal/process/dispatch/burst_test.go
@@ -161,6 +161,51 @@
 	return reply, nil
 }
 
+// endAll ends all tasks of a job as done.
+func (c *countedWorkers) endAll(id job.ID) {
+	c.mu.Lock()
+	var tasks []job.TaskRef
+	var workers []*countedWorker
+	for _, w := range c.workers {
+		for task := range w.running {
+			if task.Job == id {
+				tasks, workers = append(tasks, task), append(workers, w)
+			}
+		}
+	}
+	c.mu.Unlock()
+	for i, task := range tasks {
+		c.end(workers[i], task, fleet.EndDone)
+	}
+}
+
+// TestBurstDelaysLeasesAndEnds guards against leases that come near their end, and ends of other jobs
+// that are noticed late, while stop orders wait for the same workers.
+func TestBurstDelaysLeasesAndEnds(t *testing.T) {
+	const longestRenewal, longestEnd = 2500 * time.Millisecond, 1500 * time.Millisecond
+	c := newCountedWorkers(300*time.Microsecond, 7*time.Microsecond)
+	withWorkers(t, c, wideWorkers, func(d *Dispatcher) {
+		short := smallTasks(secondJob, wideWorkers)
+		short.Submission.Spec.Steps[0].LongRunning, short.Submission.Spec.Steps[0].EstimateMS = false, 60_000
+		jobs := []job.Entry{smallTasks(firstJob, wideTasks), short}
+		d.AddJobs(jobs)
+		time.Sleep(10 * time.Second)
+		cancelJob(d, jobs[0])
+		time.Sleep(200 * time.Millisecond)
+		c.endAll(secondJob)
+		time.Sleep(longestEnd)
+		_, held := d.State(secondJob)
+		_, stops := c.counts()
+		time.Sleep(cancelTime)
+		c.mu.Lock()
+		silence := c.longestSilence
+		c.mu.Unlock()
+		must.Less(t, wideTasks, stops, must.Sprint("the burst has not gone on for as long"))
+		must.False(t, held)
+		must.Less(t, longestRenewal, silence)
+	})
+}
+
 // counts returns the rows of all lists and the accepted stop orders.
 func (c *countedWorkers) counts() (rows, stops int) {
 	c.mu.Lock()
@@ -255,7 +300,6 @@
 				b.mu.Lock()
 				longest := b.longestBatch
 				b.mu.Unlock()
-				t.Log(stops, longest)
 				must.Eq(t, cancelled, stops)
 				must.Between(t, 2, longest, maxStopBatch)
 			})
