--- a/internal/process/entry/metrics.go
+++ b/internal/process/entry/metrics.go
@@ -73,7 +73,7 @@
 	if addr == (netip.AddrPort{}) {
 		return nil
 	}
-	admin, err := web.Listen(addr)
+	admin, err := web.ListenOperators(addr, e.config.Logger, "entry_admin")
 	if err != nil {
 		return err
 	}
--- a/internal/process/placer/placer.go
+++ b/internal/process/placer/placer.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		return err
 	}
-	p.controlServer, err = web.Listen(host.Control)
+	p.controlServer, err = web.ListenOperators(host.Control, p.config.Logger, "control")
 	return err
 }
 
--- a/internal/program/clients.go
+++ b/internal/program/clients.go
@@ -3,13 +3,11 @@
 import (
 	"math"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
-	"github.com/siskinvane/siskinvane/internal/process/event"
 	"github.com/siskinvane/siskinvane/internal/process/quota"
 	"github.com/siskinvane/siskinvane/internal/process/settings"
 	"github.com/siskinvane/siskinvane/internal/process/web"
@@ -101,7 +99,7 @@
 // guard returns the guard of a server with the given name. declarations returns those in
 // force, or nil.
 func (g *clientGuards) guard(server string, q *quota.Quota, declarations func() *queue.Config) web.Guard {
-	lines := &refusalLines{logger: g.logger, server: server, count: map[web.Refusal]int{}, loggedAt: map[web.Refusal]time.Time{}}
+	lines := web.NewRefusalLog(g.logger, server)
 	return web.Guard{
 		Quota:  q,
 		Limits: func() framing.Limits { return requestLimits(declarations()) },
@@ -109,35 +107,7 @@
 			name := "clients.turned_away_" + strings.ReplaceAll(string(r), " ", "_")
 			metrics.GetOrRegisterCounter(name, g.registry).Inc(1)
 			connections, bytes := q.Usage()
-			lines.add(r, connections, bytes, time.Now())
+			lines.Add(r, connections, bytes, time.Now())
 		},
 	}
 }
-
-// refusalLinePeriod is the shortest time between two log lines with the same reason.
-const refusalLinePeriod = time.Second
-
-// refusalLines logs the clients of one server that were turned away. It is safe for
-// concurrent use.
-type refusalLines struct {
-	logger *logrus.Logger
-	server string
-
-	mu sync.Mutex
-	// count counts those since the last line.
-	count    map[web.Refusal]int
-	loggedAt map[web.Refusal]time.Time
-}
-
-func (l *refusalLines) add(r web.Refusal, connections, bytes int, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.count[r]++
-	if now.Sub(l.loggedAt[r]) < refusalLinePeriod {
-		return
-	}
-	event.ClientTurnedAway.Log(l.logger, logrus.Fields{
-		"server": l.server, "reason": string(r), "clients": l.count[r], "connections": connections, "bytes": bytes,
-	})
-	l.count[r], l.loggedAt[r] = 0, now
-}
--- a/internal/program/clients_test.go
+++ b/internal/program/clients_test.go
@@ -1,16 +1,11 @@
 package program
 
 import (
-	"io"
 	"testing"
-	"time"
 
 	"github.com/shoenig/test/must"
-	"github.com/sirupsen/logrus"
-	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/siskinvane/siskinvane/internal/process/quota"
 	"github.com/siskinvane/siskinvane/internal/process/settings"
-	"github.com/siskinvane/siskinvane/internal/process/web"
 	"github.com/siskinvane/siskinvane/internal/request/framing"
 	"github.com/siskinvane/siskinvane/internal/version/queue"
 )
@@ -44,17 +39,3 @@
 		}
 	}
 }
-
-// TestRefusalLinesAreBounded: a crowd must not fill the log.
-func TestRefusalLinesAreBounded(t *testing.T) {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	hook := logtest.NewLocal(logger)
-	lines := refusalLines{logger: logger, count: map[web.Refusal]int{}, loggedAt: map[web.Refusal]time.Time{}}
-	start := time.Unix(1000, 0)
-	for i := range 1001 {
-		lines.add(web.Displaced, 1, 2, start.Add(time.Duration(i)*time.Millisecond))
-	}
-	must.SliceLen(t, 2, hook.Entries)
-	must.Eq(t, 1000, hook.LastEntry().Data["clients"].(int))
-}
