--- a/review/rig-3/worker.go
+++ b/review/rig-3/worker.go
@@ -24,6 +24,11 @@
 	addr  string
 	life  *life
 	lives int
+	// leaves, if set, says whether a call gets no answer and is carried out later, by carryOutLate.
+	// It is called with mu held.
+	leaves func(path string, o *order) bool
+	// begins, if set, is called with mu held when a life begins, before it takes any call.
+	begins func()
 }
 
 // life is one run of a worker.
@@ -82,6 +87,9 @@
 	if err != nil {
 		k.w.cannotRun("worker %s: %v", k.id, err)
 	}
+	if k.begins != nil {
+		k.begins()
+	}
 	l.server = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { k.serve(l, rw, r) })}
 	go func() { _ = l.server.Serve(ln) }()
 	k.register(l)
@@ -168,6 +176,13 @@
 		rw.WriteHeader(421)
 		return
 	}
+	k.mu.Lock()
+	left := k.leaves != nil && !l.over && k.leaves(r.URL.Path, &o)
+	k.mu.Unlock()
+	if left {
+		<-r.Context().Done()
+		return
+	}
 	if r.URL.Path == "/api/hold" {
 		k.hold(l, &o, rw, r)
 		return
@@ -182,6 +197,22 @@
 	writeJSON(rw, status, answer)
 }
 
+// carryOutLate carries out a call that was left, in the worker's present life. The caller holds mu.
+func (k *worker) carryOutLate(path string, o *order) {
+	l := k.life
+	if path != "/api/hold" {
+		status, answer := k.carryOut(l, path, o)
+		k.w.note("worker %s life %d carries out the late %s of %s attempt %d: %d %v", k.id, l.number, path, o.Task, o.Attempt, status, answer)
+		return
+	}
+	k.w.note("worker %s life %d carries out the late hold acked through %d", k.id, l.number, o.AckedThrough)
+	if o.FencingToken >= l.token {
+		l.token = o.FencingToken
+		l.extend(o.DeadlineMS)
+		k.acknowledge(l, o.AckedThrough)
+	}
+}
+
 const (
 	maxHoldMS = 10_000
 	stopGrace = 900 * time.Millisecond
--- a/review/rig-3/world.go
+++ b/review/rig-3/world.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -32,6 +33,10 @@
 	// durations says how long a task runs and how it ends.
 	durations func(task string, attempt int) (time.Duration, string)
 
+	// processes guards the hosts' processes and ended, which is set once no more may start.
+	processes sync.Mutex
+	ended     bool
+
 	mu     sync.Mutex
 	record *os.File
 	runs   map[string][]*runRecord
@@ -168,7 +173,7 @@
 		"listen_addrs": map[string]any{"front": h.front, "readiness": h.ip + ":8167"},
 		"port_range":   []any{7720, 7735}, "platform": map[string]any{"address": storeAddr, "call_bytes": 2097152},
 		"cloud": map[string]any{"address": cloudAddr}, "advice": adviceAddr,
-		"limits": map[string]any{"memory_mb": 284, "cores": 1, "max_fds": 4100, "link_mbps": 1000.0},
+		"limits": map[string]any{"memory_mb": memoryMB, "cores": 1, "max_fds": 4100, "link_mbps": 1000.0},
 		"bounds": map[string]any{
 			"max_hold_ms": maxHoldMS, "stop_grace_ms": 900, "lease_ms": 3000, "config_apply_ms": 2000, "grace_s": 6,
 			"remote_factor": 1.5, "status_s": 120,
@@ -259,6 +264,87 @@
 	}()
 }
 
+// limitMemory kills each process whose resident memory exceeds limitMB, and starts it again a second
+// later, as the platform does. The function returned tells how often, by host.
+func (w *world) limitMemory(limitMB int) (kills func() []int) {
+	counts := make([]int, len(w.hosts))
+	var mu sync.Mutex
+	for i, h := range w.hosts {
+		go func() {
+			for {
+				time.Sleep(50 * time.Millisecond)
+				resident := h.residentMB()
+				if resident <= limitMB {
+					continue
+				}
+				w.note("host %s takes %d MB and is killed", h.name, resident)
+				mu.Lock()
+				counts[i]++
+				mu.Unlock()
+				h.restart(time.Second)
+			}
+		}()
+	}
+	return func() []int {
+		mu.Lock()
+		defer mu.Unlock()
+		return append([]int(nil), counts...)
+	}
+}
+
+// residentMB returns the resident memory of the host's process, or 0 if that has ended.
+func (h *host) residentMB() int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	m := resident.FindSubmatch(text)
+	if m == nil {
+		return 0
+	}
+	kB, _ := strconv.Atoi(string(m[1]))
+	return kB / 1024
+}
+
+var resident = regexp.MustCompile(`(?m)^VmRSS:\s+(\d+) kB`)
+
+// restart kills the host's process and starts it again after a pause, unless the run ends.
+func (h *host) restart(pause time.Duration) {
+	h.w.processes.Lock()
+	_ = h.cmd.Process.Signal(syscall.SIGKILL)
+	<-h.exited
+	h.w.processes.Unlock()
+	time.Sleep(pause)
+	h.w.processes.Lock()
+	defer h.w.processes.Unlock()
+	if !h.w.ended {
+		h.start()
+	}
+}
+
+// ranSince reports whether a run of a task went on at the given time or later.
+func (w *world) ranSince(task string, at time.Time) bool {
+	for _, r := range w.runsOf(task) {
+		if endedAt, _, _ := r.state(); endedAt.IsZero() || endedAt.After(at) {
+			return true
+		}
+	}
+	return false
+}
+
+// reservedShare returns the share of the workers' processors that running tasks reserve. All tasks of
+// a scenario that uses it take one core at least; those that fill reserve none, and are counted all the same.
+func (w *world) reservedShare() float64 {
+	reserved, all := 0, 0
+	for _, k := range w.workers {
+		k.mu.Lock()
+		reserved += 4000 * len(k.life.running)
+		all += k.cpu
+		k.mu.Unlock()
+	}
+	return float64(reserved) / float64(all)
+}
+
 func (w *world) note(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -281,6 +367,8 @@
 
 // end ends all processes and exits.
 func (w *world) end(code int) {
+	w.processes.Lock()
+	w.ended = true
 	for _, h := range w.hosts {
 		if h.cmd != nil && h.cmd.Process != nil {
 			_ = h.cmd.Process.Signal(syscall.SIGCONT)
@@ -326,12 +414,12 @@
 	w.runs[o.Task] = append(earlier, r)
 	w.mu.Unlock()
 	for _, e := range earlier {
-		endedAt, how, _ := e.state()
+		endedAt, how, ackedAt := e.state()
 		switch {
 		case endedAt.IsZero():
 			w.breaks("TWICE: %s attempt %d starts on %s while attempt %d runs on %s", o.Task, o.Attempt, k.id, e.attempt, e.worker)
-		case how == "done" && !e.lasting:
-			w.note("%s starts again on %s after attempt %d ended done", o.Task, k.id, e.attempt)
+		case how == "done" && !e.lasting && !ackedAt.IsZero():
+			w.breaks("TWICE: %s attempt %d starts on %s after attempt %d has ended done on %s, and that end was taken note of", o.Task, o.Attempt, k.id, e.attempt, e.worker)
 		}
 	}
 	return r
@@ -339,12 +427,15 @@
 
 // acknowledged records that the end of a run was taken note of.
 func (w *world) acknowledged(l *life, r *runRecord) {
+	w.note("end of %s attempt %d (%s) on %s is taken note of", r.task, r.attempt, r.how, r.worker)
 	r.mu.Lock()
-	r.ackedAt = time.Now()
 	done, ended := r.how == "done" && !r.lasting, r.endedAt
+	counts := done && !l.lapsedAt.After(ended)
+	if counts {
+		r.ackedAt = time.Now()
+	}
 	r.mu.Unlock()
-	w.note("end of %s attempt %d (%s) on %s is taken note of", r.task, r.attempt, r.how, r.worker)
-	if !done || l.lapsedAt.After(ended) {
+	if !counts {
 		// The end of a run whose lease lapsed before it was taken note of does not count.
 		return
 	}
