--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The run of a task that lasts ends done. TROUBLE=0 leaves the disruption out. Exit code: 1 if
+# A worker crashes, is back after a second, and is lost five seconds later. TROUBLE=0 leaves the disruption out. Exit code: 1 if
 # the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec review/bin-3/rig-3 lasting-done review/15/record.txt
+exec review/bin-3/rig-3 crash-twice review/15/record.txt
