--- a/bench/review.sh
+++ b/bench/review.sh
@@ -10,7 +10,7 @@
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
 git clone -q "$top" "$dir/tree" && cd "$dir/tree" || exit 2
-sh -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)" && review/build.sh && review/build-2.sh || exit 2
+sh -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)" && review/build.sh && review/build-2.sh && review/build-3.sh || exit 2
 
 worst=0
 # report NAME CODE prints the outcome of a case, with the exit codes of the review's scripts.
