Scheduler: requests for advice that follow the declared times

Cause: each request for advice named thirty workers, whatever the queue declares, and was given up after 5 s, once in the scheduler and once in the adapter. With 0.5 s and 160 ms a worker the answer takes 5.3 s, so no request could succeed, and only an answer made the next one smaller, not its absence. Size and requests in flight were the owner's, so a slow queue held up others.

Change: one timing for each queue keeps the declared times, fits a line to the measured ones and derives size and wait from both. A request without an answer makes the next one a quarter as large. A queue has one request in flight, or two quick ones, and the owner 16. Tickets count from when the service can have begun. Late answers have a log line (7106).

--- a/internal/platform/fleet/fleet.go
+++ b/internal/platform/fleet/fleet.go
@@ -221,8 +221,13 @@
 	Unreadable []error
 }
 
+// MaxAdviceWait bounds the wait for an answer of the advice service, so that a step is asked about
+// again whatever times are declared.
+const MaxAdviceWait = time.Minute
+
 // Advisor is the advice service, which decides which workers may run a step.
 type Advisor interface {
+	// Advise waits for the answer until ctx is done, MaxAdviceWait at most.
 	Advise(ctx context.Context, q AdviceRequest) (Advice, error)
 }
 
--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -96,6 +96,12 @@
 			"waited_ms": note.Waited.Milliseconds(), "ready_ms": note.Ready.Milliseconds(),
 		})
 	}
+	for _, note := range n.LateAdvice {
+		d.counter("advice.late").Inc(1)
+		event.AdviceLate.Log(d.Logger, logrus.Fields{
+			"job": note.Job, "step": note.Step, "workers": note.Workers, "took_ms": note.Took.Milliseconds(), "valid_ms": note.Validity.Milliseconds(),
+		})
+	}
 	for _, note := range n.Held {
 		d.counter("steps.held").Inc(1)
 		event.StepWaiting.Log(d.Logger, logrus.Fields{
--- a/internal/process/dispatch/orders.go
+++ b/internal/process/dispatch/orders.go
@@ -205,7 +205,12 @@
 		event.AdviceUnreadable.Log(d.Logger, logrus.Fields{"rows": len(answer.Unreadable), "error": answer.Unreadable[0]})
 	}
 	if err != nil {
-		event.AdviceFailed.Log(d.Logger, logrus.Fields{"job": a.Request.Job, "step": a.Request.Step, "error": err})
+		d.counter("advice.failed").Inc(1)
+		event.AdviceFailed.Log(d.Logger, logrus.Fields{
+			"job": a.Request.Job, "step": a.Request.Step, "workers": len(a.Request.Workers), "timeout_ms": a.Timeout.Milliseconds(), "error": err,
+		})
+	} else {
+		d.timer("advice").Update(d.Clock() - askedAt)
 	}
 	d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) { s.AdviceAnswered(now, askedAt, a, answer, err) })
 }
--- a/internal/process/event/job.go
+++ b/internal/process/event/job.go
@@ -32,6 +32,7 @@
 	StartNotAccepted = declare(7101, logrus.InfoLevel, "start not accepted")
 	AdviceFailed     = declare(7104, logrus.WarnLevel, "advice not given")
 	AdviceUnreadable = declare(7105, logrus.WarnLevel, "advice partly unreadable")
+	AdviceLate       = declare(7106, logrus.WarnLevel, "advice came after its tickets")
 	PaceFailed       = declare(7103, logrus.WarnLevel, "pace not accepted")
 
 	OwnerUnreachable  = declare(7208, logrus.WarnLevel, "shard's owner not reached")
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -11,29 +11,16 @@
 )
 
 const (
-	// maxRequestWorkers bounds the workers that one request names: the platform's
-	// latency objective covers thirty.
-	maxRequestWorkers = 30
-	// maxOpenRequests bounds the requests in flight: the service answers one at a time.
-	maxOpenRequests = 2
 	// ticketMargin is how long before its expiry a ticket is no longer used.
 	ticketMargin = 200 * time.Millisecond
 	// adviceRetryDelay is the delay before a failed request is repeated.
 	adviceRetryDelay = 200 * time.Millisecond
-	// minAdviceTimeout and maxAdviceTimeout bound the wait for an answer, which is
-	// adviceTimeoutFactor times as long as the answer usually takes.
-	minAdviceTimeout    = time.Second
-	maxAdviceTimeout    = 5 * time.Second
-	adviceTimeoutFactor = 3
 )
 
 // advice holds the advice service's answers about a step.
 type advice struct {
-	// timing tells how long requests take and tickets are valid unless an answer says
-	// otherwise.
-	timing queue.Advice
-	// failures counts the requests in a row that failed.
-	failures int
+	// timing is that of the step's queue.
+	timing *adviceTiming
 	// pending is set while a request is in flight.
 	pending bool
 	// retryAt is when the next request may be sent.
@@ -55,6 +42,9 @@
 	Request fleet.AdviceRequest
 	// Timeout is how long to wait for the answer.
 	Timeout time.Duration
+	// timing is that of the step's queue, and expected the time that the answer should take.
+	timing   *adviceTiming
+	expected time.Duration
 }
 
 // valid reports whether the answer can still be used.
@@ -62,39 +52,27 @@
 	return p.run == w.run && now+ticketMargin < p.validUntil
 }
 
-// defaultTiming applies to a queue that was never declared to this owner. Its validity also
-// applies if a queue declares none.
-var defaultTiming = queue.Advice{Validity: time.Second}
-
 // updateAdvice sets advice if the step's queue requires the advice service to permit workers,
 // and removes it if the queue does not any more. A queue that is no longer declared keeps
 // what applied last: workers still refuse the tasks of its jobs without a ticket.
-func (r *stepRun) updateAdvice(q *queue.Queue) {
-	switch {
+func (s *Shard) updateAdvice(r *stepRun) {
+	switch q := s.config.Queues[r.job.sub.Queue]; {
 	case q == nil:
 	case q.Advice == nil:
 		r.advice = nil
 	default:
-		r.requireAdvice(*q.Advice)
+		r.requireAdvice(s.adviceCalls.timing(q.Name, *q.Advice))
 	}
 }
 
 // requireAdvice sets advice.
-func (r *stepRun) requireAdvice(timing queue.Advice) {
+func (r *stepRun) requireAdvice(timing *adviceTiming) {
 	if r.advice == nil {
 		r.advice = &advice{answers: map[platform.WorkerID]permission{}}
 	}
 	r.advice.timing = timing
 }
 
-// requestTimeout returns how long to wait for the answer to a request about n workers. The
-// request may have to wait for the owner's other ones. The time doubles after each failure,
-// since the service may be slow.
-func (a *advice) requestTimeout(n int) time.Duration {
-	usual := maxOpenRequests * (a.timing.Delay + time.Duration(n)*a.timing.DelayPerWorker)
-	return min(maxAdviceTimeout, max(minAdviceTimeout, adviceTimeoutFactor*usual)<<min(a.failures, 3))
-}
-
 // permitted reports whether a step may run on a worker.
 func (r *stepRun) permitted(now Instant, w *workerState) bool {
 	if r.advice == nil {
@@ -116,7 +94,7 @@
 // answer.
 func (p *placement) requestAdvice(r *stepRun, candidates []*workerState) {
 	s, a := p.shard, r.advice
-	if a.pending || p.now < a.retryAt || s.openAdviceRequests >= maxOpenRequests {
+	if a.pending || p.now < a.retryAt || !s.adviceCalls.hasRoom(a.timing) {
 		return
 	}
 	workers := p.workersToAskAbout(r, candidates)
@@ -128,8 +106,7 @@
 		request.Workers = append(request.Workers, w.info.ID)
 	}
 	a.pending = true
-	s.openAdviceRequests++
-	s.pending.AdviceRequests = append(s.pending.AdviceRequests, AdviceAction{Request: request, Timeout: a.requestTimeout(len(workers))})
+	s.pending.AdviceRequests = append(s.pending.AdviceRequests, s.adviceCalls.begin(a.timing, request))
 }
 
 // workersToAskAbout returns the workers that the next request about a step names. Those
@@ -162,26 +139,22 @@
 	}
 	slices.SortStableFunc(permitted, order)
 	slices.SortStableFunc(others, order)
-	first := permitted[:min(len(permitted), (s.adviceSize+1)/2)]
+	size := a.timing.size()
+	first := permitted[:min(len(permitted), (size+1)/2)]
 	list := slices.Concat(first, others, permitted[len(first):])
-	return list[:min(len(list), s.adviceSize)]
-}
-
-// adjustAdviceSize adapts the number of workers in a request to the time that answers take:
-// one that comes when its tickets have expired is of no use.
-func (s *Shard) adjustAdviceSize(asked int, late bool) {
-	switch {
-	case late:
-		s.adviceSize = max(1, min(s.adviceSize, asked/2))
-	case asked == s.adviceSize:
-		s.adviceSize = min(maxRequestWorkers, s.adviceSize+1)
-	}
+	return list[:min(len(list), size)]
 }
 
 // AdviceAnswered handles the answer to a request. sent is when the request was sent;
 // err is nil if the service answered.
 func (s *Shard) AdviceAnswered(now, sent Instant, action AdviceAction, answer fleet.Advice, err error) {
-	s.openAdviceRequests--
+	begun := s.adviceCalls.end(now, sent, action)
+	timing, asked := action.timing, len(action.Request.Workers)
+	if err == nil {
+		timing.answered(asked, now-begun, answer.Validity)
+	} else if isUnanswered(err) {
+		timing.notAnswered(asked)
+	}
 	r := s.findStep(action.Request)
 	if r == nil || r.advice == nil {
 		return
@@ -189,16 +162,23 @@
 	r.advice.pending = false
 	r.triedAll = false
 	if err != nil {
-		r.advice.failures++
 		r.advice.retryAt = now + adviceRetryDelay
 		return
 	}
-	r.advice.failures = 0
-	validity := cmp.Or(answer.Validity, r.advice.timing.Validity, defaultTiming.Validity)
-	s.adjustAdviceSize(len(action.Request.Workers), now+ticketMargin >= sent+validity)
+	validUntil := begun + timing.validity
+	if now+ticketMargin >= validUntil {
+		s.notes.LateAdvice = append(s.notes.LateAdvice, LateAdviceNote{
+			Job: action.Request.Job, Step: action.Request.Step, Workers: asked, Took: now - begun, Validity: timing.validity,
+		})
+		if timing.neverInTime(asked) {
+			// Such tickets can be used only if they are valid from the answer on. A worker
+			// refuses the start if they are not.
+			validUntil = now + timing.validity
+		}
+	}
 	for _, id := range action.Request.Workers {
 		if w, ok := s.workers[id]; ok {
-			r.advice.answers[id] = permission{ticket: answer.Tickets[id], run: w.run, validUntil: sent + validity}
+			r.advice.answers[id] = permission{ticket: answer.Tickets[id], run: w.run, validUntil: validUntil}
 		}
 	}
 }
@@ -220,7 +200,7 @@
 // was dropped before this owner took over.
 func (r *stepRun) discardTicket(w *workerState) {
 	if r.advice == nil {
-		r.requireAdvice(defaultTiming)
+		r.requireAdvice(newAdviceTiming(queue.Advice{}))
 		return
 	}
 	delete(r.advice.answers, w.info.ID)
--- a/internal/scheduler/notes.go
+++ b/internal/scheduler/notes.go
@@ -26,6 +26,17 @@
 	// Evacuations are those that the owner has begun to obey.
 	Evacuations []Evacuation
 	Reserved    []ReservedNote
+	LateAdvice  []LateAdviceNote
+}
+
+// LateAdviceNote says that the tickets of an answer about a step were over when it arrived.
+type LateAdviceNote struct {
+	Job  job.ID
+	Step int
+	// Workers is the number of workers that the request named.
+	Workers int
+	// Took is the time that the service took, and Validity how long its tickets are valid.
+	Took, Validity time.Duration
 }
 
 // ReservedNote says that room on a worker is kept for a task of a step.
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -354,7 +354,7 @@
 
 // placeStep starts the tasks of a step for which there is a worker.
 func (p *placement) placeStep(r *stepRun) {
-	r.updateAdvice(p.shard.config.Queues[r.job.sub.Queue])
+	p.shard.updateAdvice(r)
 	candidates := p.candidates(r)
 	r.triedChanges = p.shard.dirty.changes()
 	if len(candidates) == 0 {
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -111,10 +111,7 @@
 	lostRuns map[workerRun]*lostRun
 	// stopsInFlight counts the stop orders that were issued and have no outcome yet.
 	stopsInFlight map[stopKey]int
-	// openAdviceRequests counts the requests to the advice service that are in flight.
-	openAdviceRequests int
-	// adviceSize is the number of workers that a request to the advice service may name.
-	adviceSize int
+	adviceCalls   adviceCalls
 
 	journal journal
 	pending Actions
@@ -140,7 +137,7 @@
 		returns:       returnQueue{},
 		stopsInFlight: map[stopKey]int{},
 		lostRuns:      map[workerRun]*lostRun{},
-		adviceSize:    maxRequestWorkers,
+		adviceCalls:   adviceCalls{timings: map[queue.Name]*adviceTiming{}},
 		reservations:  reservation.NewBook[*workerState, *stepRun](),
 		entries:       entries{recentRequired: true},
 		evacuations:   evacuations{noted: map[platform.FailureDomain]bool{}},
@@ -159,7 +156,10 @@
 func (s *Shard) SetBounds(b Bounds) { s.bounds, s.dirty.all = b, true }
 
 // SetConfig applies a version of the declarations.
-func (s *Shard) SetConfig(c *queue.Config) { s.config, s.dirty.all = c, true }
+func (s *Shard) SetConfig(c *queue.Config) {
+	s.config, s.dirty.all = c, true
+	s.adviceCalls.forgetDropped(c)
+}
 
 // DeclaredVersion returns the version of the declarations that applies.
 func (s *Shard) DeclaredVersion() int64 { return s.config.Version }
--- a/internal/scheduler/shard_test.go
+++ b/internal/scheduler/shard_test.go
@@ -12,6 +12,7 @@
 const (
 	firstID  = "00000000000000a1"
 	secondID = "00000000000000a2"
+	thirdID  = "00000000000000a3"
 )
 
 func dependsOn(steps ...int) func(job.Step) job.Step {
