Scheduler: an order that waits for an end grants no lease

Cause: a renewal granted a lease and then stayed with the worker for up to 1.2 s of each 1.55 s, so one was nearly always under way at a crash. The next run may carry it out 13 s later and then holds the longest lease, 10.3 s, and the owner waits for both. The wait guards against TWICE and is right.

Change: a lease is granted by an order that is answered at once; the order that waits grants none, so nothing is open when a worker crashes but by chance. The owner keeps each open order with the run that it was meant for, and what is stray follows from those: an answer ends it, lists that were read later prove which run carried it out, and orders of earlier owners count until 23 s after the claim. A task that lasts starts beside stray leases last.

TestTaskThatLastsStarts- BesideStrayLeasesLast fails before as well.

Tests that took any renewal for one with a lease now take the next one that has one (holdUpLeases, grantsLease), with the same checks; grantsLease looks at all orders of 1.5 s where one was looked at. TestSilentWorkersOfOneTaskStay- Recordable cuts workers off each 10 s: with 5 s the shorter rest of a lease let it cut off workers whose task had just started, which counts as a crash. The batch tasks of TestBurstDelaysLeasesAndEnds made no progress, so that they were moved as stalled at some of the times at which the test ends them; they make progress now. All of these pass on the code before.

--- a/internal/process/dispatch/burst_test.go
+++ b/internal/process/dispatch/burst_test.go
@@ -21,7 +21,7 @@
 
 // countedWorkers are workers of an owner with a slow processor, which each answer occupies: for
 // stopCost an answer to a stop order, for rowCost each row of the answer to a renewal. Their tasks run
-// until they are stopped.
+// until they are stopped; those of secondJob make progress for a minute.
 type countedWorkers struct {
 	stopCost, rowCost time.Duration
 
@@ -38,6 +38,7 @@
 // countedWorker is one of countedWorkers.
 type countedWorker struct {
 	running, stopping map[job.TaskRef]platform.Attempt
+	started           map[job.TaskRef]time.Time
 	ended             []fleet.Ended
 	lastEnd           uint64
 	answeredAt        time.Time
@@ -55,7 +56,7 @@
 func (c *countedWorkers) worker(id platform.WorkerID) *countedWorker {
 	w := c.workers[id]
 	if w == nil {
-		w = &countedWorker{running: map[job.TaskRef]platform.Attempt{}, stopping: map[job.TaskRef]platform.Attempt{}, changed: make(chan struct{})}
+		w = &countedWorker{running: map[job.TaskRef]platform.Attempt{}, stopping: map[job.TaskRef]platform.Attempt{}, started: map[job.TaskRef]time.Time{}, changed: make(chan struct{})}
 		c.workers[id] = w
 	}
 	return w
@@ -82,7 +83,8 @@
 	time.Sleep(roundTrip)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.worker(w.ID).running[o.Task] = o.Attempt
+	worker := c.worker(w.ID)
+	worker.running[o.Task], worker.started[o.Task] = o.Attempt, time.Now()
 	return accepted(), nil
 }
 
@@ -147,7 +149,11 @@
 	}
 	reply := fleet.RenewReply{Verdict: fleet.Accepted, Clock: accepted().Clock, Started: 1}
 	for task, attempt := range worker.running {
-		reply.Running = append(reply.Running, fleet.Running{Task: task, Attempt: attempt, Progress: 100})
+		progress := 100
+		if task.Job == secondJob {
+			progress = min(progress, int(time.Since(worker.started[task])/(600*time.Millisecond)))
+		}
+		reply.Running = append(reply.Running, fleet.Running{Task: task, Attempt: attempt, Progress: progress})
 	}
 	reply.Ended = append(reply.Ended, worker.ended[:min(len(worker.ended), fleet.MaxListedEnds)]...)
 	rows := len(reply.Running) + len(reply.Ended)
--- a/internal/process/dispatch/renew.go
+++ b/internal/process/dispatch/renew.go
@@ -19,7 +19,7 @@
 	// delay doubles with each further try up to maxRenewRetryDelay.
 	renewRetryDelay    = 200 * time.Millisecond
 	maxRenewRetryDelay = 800 * time.Millisecond
-	// maxFirstContacts bounds the renew orders without a wait that are in flight: after
+	// maxFirstContacts bounds the renew orders in flight that a run gets first, without a wait: after
 	// a takeover the lists of all workers together would fill the host's link.
 	maxFirstContacts = 64
 	// firstContactHold is how long an unanswered renew order without a wait counts as
@@ -58,8 +58,8 @@
 		r.release()
 		if answered {
 			failures = 0
-			if r.order.Wait == 0 {
-				// The order may have granted no lease; the next one will.
+			if r.order.Wait == 0 && r.order.LeaseEnd == 0 {
+				// The next order may grant a lease.
 				continue
 			}
 			answeredAt := d.Clock()
@@ -68,9 +68,7 @@
 			} else {
 				unrecorded++
 			}
-			if r.order.LeaseEnd != 0 {
-				d.pauseBeforeRenewal(id, answeredAt)
-			}
+			d.pauseBeforeRenewal(id, answeredAt, r.order.Wait > 0)
 			continue
 		}
 		if mayAct {
@@ -119,14 +117,14 @@
 	release func()
 }
 
-// nextRenewal returns the next renew order for a worker. Before an order without a wait
-// it waits until fewer than maxFirstContacts are in flight. It reports false if the
+// nextRenewal returns the next renew order for a worker. Before a first contact or a run's first
+// lease it waits until fewer than maxFirstContacts are in flight. It reports false if the
 // shard no longer needs the worker or the dispatcher has ended.
 func (d *Dispatcher) nextRenewal(id platform.WorkerID) (renewal, bool) {
 	r := renewal{release: func() {}}
 	for held := false; ; held = true {
 		d.mu.Lock()
-		if held || !d.shard.RenewsAtOnce(d.Clock(), id) {
+		if held || !d.shard.RenewsAtOnce(d.Clock(), id) && !d.shard.FirstLeaseDue(id) {
 			r.sent = d.Clock()
 			confirmedAt := r.sent - d.ConfirmationAge()
 			d.shard.LogRead(confirmedAt)
@@ -154,13 +152,20 @@
 	}
 }
 
-// pauseBeforeRenewal delays the next renewal for a worker that answered the last one at
-// answeredAt, while no job waits for its attempts to end, or the link or the processor is short. The
+// pauseBeforeRenewal delays the next renewal for a worker that answered the last one at answeredAt and
+// whose leases are extended, while the link or the processor is short. waited is set if that order
+// let the worker wait for an end: then the next one has time while no job waits for one there. The
 // time since then counts, so that the worker's lists do not grow too old to extend its leases.
-func (d *Dispatcher) pauseBeforeRenewal(id platform.WorkerID, answeredAt scheduler.Instant) {
+func (d *Dispatcher) pauseBeforeRenewal(id platform.WorkerID, answeredAt scheduler.Instant, waited bool) {
 	d.mu.Lock()
-	wait := max(d.shard.RenewPause(id), d.starts.renewPause(), d.lists.renewPause())
+	leased, wait := d.shard.Leased(id), max(d.starts.renewPause(), d.lists.renewPause())
+	if waited {
+		wait = max(wait, d.shard.RenewPause(id))
+	}
 	d.mu.Unlock()
+	if !leased {
+		return
+	}
 	for {
 		now := d.Clock()
 		d.mu.Lock()
--- a/internal/scheduler/crash_guard_test.go
+++ b/internal/scheduler/crash_guard_test.go
@@ -467,7 +467,8 @@
 	id := h.submit(firstID, fixedLength(1000), nil, batchStep(1))
 	cut := map[platform.WorkerID]bool{}
 	for len(cut) < silent {
-		h.run(5 * time.Second)
+		// Longer than the lease and the time after which a task counts as settled.
+		h.run(10 * time.Second)
 		for _, w := range h.cluster.Entries() {
 			if !cut[w.ID] && h.cluster.StartsOn(w.ID) > 0 {
 				cut[w.ID] = true
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -58,6 +58,9 @@
 	refusedJob job.ID
 	// refusesConnections is a worker that no start order reaches, or empty.
 	refusesConnections platform.WorkerID
+	// heldUp are the renew orders with a lease end that are under way, by worker. While it is set,
+	// the next one to each worker is not delivered, and no other is sent to that worker.
+	heldUp map[platform.WorkerID]heldUpRenewal
 	// unanswered are the attempts with a start order that got no answer.
 	unanswered map[string]bool
 	// renewInterval is the time between two renew calls to each worker.
@@ -250,11 +253,55 @@
 	h.record()
 }
 
+// heldUpRenewal is a renew order that was sent and not carried out.
+type heldUpRenewal struct {
+	order fleet.RenewOrder
+	sent  time.Duration
+}
+
+// leasePeriod is longer than the time between two renew orders with a lease end.
+const leasePeriod = 1500 * time.Millisecond
+
+// holdUpLeases lets time pass until an order with a lease end is under way to each of the
+// workers that can get one, and returns these orders.
+func (h *harness) holdUpLeases() map[platform.WorkerID]heldUpRenewal {
+	h.heldUp = map[platform.WorkerID]heldUpRenewal{}
+	defer func() { h.heldUp = nil }()
+	for end := h.now + leasePeriod; h.now < end && len(h.heldUp) < h.workers; {
+		h.tick()
+	}
+	return h.heldUp
+}
+
+// grantsLease returns the lease end of the order that grants the worker's next lease, or zero if none
+// does in a leasePeriod. The order is not delivered.
+func (h *harness) grantsLease(id platform.WorkerID) platform.WorkerTime {
+	return h.holdUpLeases()[id].order.LeaseEnd
+}
+
+// awaitOrder returns the worker's next renew order that waits for an end as long as it may, and
+// delivers the one before, which grants a lease.
+func (h *harness) awaitOrder(id platform.WorkerID) fleet.RenewOrder {
+	lease, ok := h.holdUpLeases()[id]
+	must.True(h.t, ok)
+	lists, _ := h.cluster.Renew(h.now, id, lease.order)
+	h.shard.RenewAnswered(h.now, lease.sent, id, lists)
+	_, order, _ := h.shard.RenewOrder(h.now, id)
+	return order
+}
+
 func (h *harness) renewLeases(id platform.WorkerID) {
+	if _, under := h.heldUp[id]; under {
+		return
+	}
 	_, order, ok := h.shard.RenewOrder(h.now, id)
 	if !ok {
 		return
 	}
+	if h.heldUp != nil && order.LeaseEnd != 0 {
+		h.heldUp[id] = heldUpRenewal{order, h.now}
+		return
+	}
 	lists, answered := h.cluster.Renew(h.now, id, order)
 	if !answered {
 		h.shard.RenewFailed(h.now, h.now, id)
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -29,8 +29,13 @@
 	harmRenewWait = 300 * time.Millisecond
 	// quorumRenewWait applies while leases depend on when a quorum of the workers has answered.
 	quorumRenewWait = 600 * time.Millisecond
+	// leaseRenewAge is how long before the next lease order the last one may have been sent. A pause
+	// between orders and the time for an unanswered one come on top.
+	leaseRenewAge = maxRenewWait
+	// minRenewWait is the shortest wait for which an order is sent that grants no lease.
+	minRenewWait = 200 * time.Millisecond
 	// listsValidity is for how long after it has read its lists a worker counts as the same
-	// run. A restart may be quicker: workerState.strayLeasesEndAt accounts for what reaches the
+	// run. A restart may be quicker: strayLeases accounts for what reaches the
 	// next run meanwhile. While the owner may not act it sends no renew orders, so none goes
 	// unanswered that would tell of a restart.
 	listsValidity = time.Second
@@ -46,11 +51,12 @@
 	leaseExpiryMargin = 100 * time.Millisecond
 )
 
-// RenewOrder returns the next order that renews the leases of a worker and requests its
-// lists. It requests only the lists while the worker's clock is not known, while the
-// worker's enrollment is not in the log or closed, while the worker may have restarted, and
-// while it is unresponsive: if each retry requested longer leases, they would never be known to have
-// expired.
+// RenewOrder returns the next order that renews the leases of a worker or waits for its next end, and
+// requests its lists. An order that waits grants no lease: one that is under way while the worker
+// restarts would have to be taken for carried out by the next run. No lease is granted while the worker's
+// clock is not known, while its enrollment is not in the log or closed, while it may have
+// restarted, and while it is unresponsive: if each retry requested longer leases, they would never be
+// known to have expired.
 func (s *Shard) RenewOrder(now Instant, id platform.WorkerID) (fleet.Worker, fleet.RenewOrder, bool) {
 	w, ok := s.workers[id]
 	if !ok {
@@ -65,10 +71,14 @@
 		w.ended.sent = o.Acknowledged
 	}
 	if w.clock.known && sameRun {
-		if length := s.grantableLease(now); w.enrolled && !w.closed && length > 0 {
-			o.LeaseEnd = w.grantLease(now, length)
-		}
 		o.Wait = s.renewWait(w)
+		if length := s.grantableLease(now); w.leasable() && length > 0 {
+			if left := w.leasedAt + leaseRenewAge - now; left < minRenewWait || o.Wait == 0 {
+				o.LeaseEnd, o.Wait = s.grantLease(now, w, length), 0
+			} else {
+				o.Wait = min(o.Wait, left)
+			}
+		}
 	}
 	w.renewalDue = 0
 	if sameRun {
@@ -77,6 +87,22 @@
 	return w.info, o, true
 }
 
+// leasable reports whether this owner may extend the worker's leases.
+func (w *workerState) leasable() bool { return w.enrolled && !w.closed }
+
+// Leased reports whether this owner has extended the leases of a worker's present run and may go on.
+func (s *Shard) Leased(id platform.WorkerID) bool {
+	w, ok := s.workers[id]
+	return ok && w.leasable() && w.leasedAt != 0
+}
+
+// FirstLeaseDue reports whether the next renew order to a worker may be the one that grants the present
+// run its first lease.
+func (s *Shard) FirstLeaseDue(id platform.WorkerID) bool {
+	w, ok := s.workers[id]
+	return ok && w.leasable() && w.leasedAt == 0
+}
+
 // RenewalCurrent reports whether a renew order from RenewOrder may still be sent. It must not
 // if the worker may have restarted since: a new run would take the lease end for one on its own
 // clock, and forget ends that it has not listed. The order is then withdrawn.
@@ -97,7 +123,7 @@
 func (s *Shard) RenewalWithheld(id platform.WorkerID) {
 	if w, ok := s.workers[id]; ok {
 		w.renewalDue = 0
-		w.settleLeaseOrder(w.renewOrderedAt)
+		w.stray.settle(w.renewOrderedAt)
 	}
 }
 
@@ -246,13 +272,13 @@
 	s.expireLostRuns(now)
 	for _, w := range s.workers {
 		w.expireUnansweredStarts(now)
-		if !w.registered && s.idle(now, w) && w.strayOver(now) {
+		if !w.registered && s.idle(now, w) && s.strayOver(now, w) {
 			s.forgetWorker(w)
 			continue
 		}
 		s.dismissSilent(now, w)
 		s.forgetStrayLeases(now, w)
-		if !w.unresponsive() || w.clock.readAt == 0 || s.confirmedTime(now) < w.leasesExpireAt()+leaseExpiryMargin {
+		if !w.unresponsive() || w.clock.readAt == 0 || s.confirmedTime(now) < s.leasesExpireAt(w)+leaseExpiryMargin {
 			continue
 		}
 		w.closeRun()
@@ -260,7 +286,7 @@
 		for _, a := range w.attempts {
 			s.loseAttempt(now, a, "lease over")
 		}
-		if !w.registered && w.strayOver(now) {
+		if !w.registered && s.strayOver(now, w) {
 			s.forgetWorker(w)
 		}
 	}
@@ -271,12 +297,3 @@
 func (s *Shard) idle(now Instant, w *workerState) bool {
 	return s.attemptsKnown(now, w) && len(s.mayRun(w)) == 0
 }
-
-// forgetStrayLeases records, once the leases are over that orders for earlier runs may have given
-// a worker, that later owners need not wait for them.
-func (s *Shard) forgetStrayLeases(now Instant, w *workerState) {
-	if w.strayRecorded && w.enrolled && now >= w.strayLeasesEndAt && !w.unresponsive() {
-		w.strayRecorded = false
-		s.journal.enroll(w)
-	}
-}
--- a/internal/scheduler/owners_test.go
+++ b/internal/scheduler/owners_test.go
@@ -867,7 +867,7 @@
 					o.shard.RenewAnswered(h.clock(), sent, id, lists)
 					o.changed()
 					pause := time.Millisecond
-					if order.Wait > 0 && order.LeaseEnd != 0 {
+					if order.Wait > 0 && o.shard.Leased(id) {
 						pause += o.shard.RenewPause(id)
 					}
 					if o.shard.Unacknowledged(id) {
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -16,8 +16,8 @@
 	if !ok || lists.Verdict != fleet.Accepted {
 		return
 	}
-	w.settleLeaseOrder(sent)
 	if w.isEarlierRun(lists.Started, sent) {
+		s.renewalAnswered(now, sent, w, lists.Started)
 		return
 	}
 	if lists.Started != w.run && lists.Started != 0 {
@@ -28,9 +28,10 @@
 			s.setFirstRun(now, w, lists.Started, lists.Clock)
 		}
 	}
-	if !w.listsRead() && w.runBefore != 0 {
+	s.renewalAnswered(now, sent, w, lists.Started)
+	if !w.listsRead() && w.runBefore != 0 && s.predecessorsMayOrder(now) {
 		// Until now orders of earlier owners may have reached this run.
-		w.strayLeasesEndAt = max(w.strayLeasesEndAt, now+slowestClock(s.bounds.MaxLease))
+		w.stray.endAt = max(w.stray.endAt, now+s.longestLease())
 	}
 	w.clock.update(now, lists.Clock)
 	s.markHeard(now, w)
@@ -39,6 +40,7 @@
 	w.unresponsiveSince = 0
 	w.ended.acknowledged = w.ended.sent
 	w.setListsRead(now, sent, lists.Clock)
+	w.stray.prove(w.listsReadAt)
 	s.applyEnds(now, w, lists.Ended)
 	w.ended.goesOn = lists.EndsGoOn()
 	if !w.ended.goesOn {
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -187,10 +188,10 @@
 			h.renewLeases("w00")
 			answer()
 			h.run(500 * time.Millisecond)
-			_, order, _ := h.shard.RenewOrder(h.now, "w00")
+			end := h.grantsLease("w00")
 			reply, _ := h.cluster.Renew(h.now, "w00", fleet.RenewOrder{Token: 1})
-			must.Positive(t, order.LeaseEnd)
-			must.Between(t, 4*time.Second, time.Duration(order.LeaseEnd-reply.Clock), 6*time.Second)
+			must.Positive(t, end)
+			must.Between(t, 4*time.Second, time.Duration(end-reply.Clock), 6*time.Second)
 		})
 	}
 }
@@ -387,7 +388,7 @@
 	h.renewLeases("w00")
 	h.loseStops()
 	must.False(t, h.shard.RenewsAtOnce(h.now, "w00"))
-	_, order, _ := h.shard.RenewOrder(h.now, "w00")
+	order := h.awaitOrder("w00")
 	must.Between(t, time.Millisecond, order.Wait, 300*time.Millisecond)
 	h.now += order.Wait + 100*time.Millisecond
 	h.renewLeases("w00")
@@ -401,3 +402,99 @@
 	must.Eq(t, 1, h.cluster.Running(id))
 	h.checkViolations()
 }
+
+// TestTasksOfWorkerLostAfterRestartStartInTime: a renewal that was waiting at a worker when it crashed was
+// waited for as one that might give the next run a lease 13 s later.
+func TestTasksOfWorkerLostAfterRestartStartInTime(t *testing.T) {
+	// From 6 s after its last run a task that lasts may wait for 3 s.
+	const bound = 9 * time.Second
+	for _, lost := range []time.Duration{600 * time.Millisecond, 4 * time.Second} {
+		for name, notice := range map[string]func(h *harness){"by its entry": (*harness).syncWorkers, "by its lists": noticeByLists} {
+			t.Run(fmt.Sprintf("lost after %v, noticed %s", lost, name), func(t *testing.T) {
+				h := newHarness(t, 2)
+				h.run(20 * time.Second)
+				sent, waiting := h.now, h.awaitOrder("w00")
+				_, answered := h.cluster.Renew(h.now, "w00", waiting)
+				must.True(t, answered)
+				h.cluster.Crash("w00")
+				h.now += 700 * time.Millisecond
+				h.shard.RenewFailed(h.now, sent, "w00")
+				h.cluster.Boot(h.now, "w00")
+				notice(h)
+				h.cluster.SetPartitioned("w01", true)
+				h.run(time.Second)
+				id := h.submit(firstID, fixedLength(100), nil, longRunningStep())
+				h.run(300 * time.Millisecond)
+				must.Eq(t, 1, h.cluster.Running(id))
+				h.cluster.SetPartitioned("w01", false)
+				h.run(lost)
+				h.cluster.Crash("w00")
+				must.Less(t, bound, h.runUntilStart(30*time.Second))
+				h.checkViolations()
+			})
+		}
+	}
+}
+
+// TestTaskThatLastsStartsBesideStrayLeasesLast: a task that lasts started on a worker whose tasks would wait
+// for stray leases if it was lost, although another one had room.
+func TestTaskThatLastsStartsBesideStrayLeasesLast(t *testing.T) {
+	for _, room := range []bool{true, false} {
+		t.Run(fmt.Sprintf("room elsewhere %v", room), func(t *testing.T) {
+			h := newHarness(t, 2)
+			h.run(20 * time.Second)
+			h.cluster.SetPartitioned("w01", true)
+			h.run(3 * time.Second)
+			unanswered := h.submit(firstID, fixedLength(100), nil, batchStep(1))
+			start := h.beginOnlyStart()
+			must.Eq(t, "w00", string(start.Worker.ID))
+			h.cluster.Crash("w00")
+			h.shard.StartAnswered(h.now, start, fleet.Answer{}, platform.ErrOutcomeUnknown)
+			h.shard.CancelJob(h.now, unanswered)
+			h.now += 700 * time.Millisecond
+			h.cluster.Boot(h.now, "w00")
+			h.syncWorkers()
+			h.run(time.Second)
+			expected := platform.WorkerID("w00")
+			if room {
+				// Both are empty, so w00 would come first but for the stray leases.
+				h.cluster.SetPartitioned("w01", false)
+				h.run(time.Second)
+				expected = "w01"
+			}
+			id := h.submit(secondID, fixedLength(100), nil, longRunningStep())
+			h.run(300 * time.Millisecond)
+			must.Eq(t, 1, h.cluster.Running(id))
+			must.Eq(t, []platform.WorkerID{expected}, h.workersOf(job.TaskRef{Job: id}))
+		})
+	}
+}
+
+// noticeByLists lets the owner read the lists of the workers' present runs before their entries.
+func noticeByLists(h *harness) {
+	h.run(100 * time.Millisecond)
+	h.syncWorkers()
+}
+
+// TestStartAnsweredByUnseenRunIsWaitedFor: a start order that the next run had answered gave it the
+// longest lease, and the restart was noticed after lists that the run before had read earlier.
+func TestStartAnsweredByUnseenRunIsWaitedFor(t *testing.T) {
+	h := newHarness(t, 2)
+	h.run(20 * time.Second)
+	h.cluster.SetPartitioned("w01", true)
+	h.run(500 * time.Millisecond)
+	sent, waiting := h.now, h.awaitOrder("w00")
+	lists, _ := h.cluster.Renew(h.now, "w00", waiting)
+	h.cluster.Crash("w00")
+	h.cluster.Boot(h.now, "w00")
+	id := h.submit(firstID, fixedLength(100), nil, longRunningStep())
+	h.plan()
+	must.Eq(t, 1, h.cluster.Running(id))
+	h.now += 10 * time.Millisecond
+	h.shard.RenewAnswered(h.now, sent, "w00", lists)
+	h.cluster.SetPartitioned("w00", true)
+	h.cluster.SetPartitioned("w01", false)
+	h.syncWorkers()
+	must.Between(t, bounds.MaxLease, h.runUntilStart(30*time.Second), bounds.MaxLease+time.Second)
+	h.checkViolations()
+}
--- a/internal/scheduler/score.go
+++ b/internal/scheduler/score.go
@@ -19,6 +19,9 @@
 	// packingWeight packs serving tasks onto full workers, which leaves other workers
 	// without any.
 	packingWeight = 0.3
+	// strayWeight is the penalty for a worker on which stray leases may last, which exceeds all
+	// other parts: if the worker is lost, its tasks wait for them.
+	strayWeight = 100
 )
 
 // score rates a worker for a task of a step; higher is better.
@@ -38,6 +41,9 @@
 	if isRemote(step.DataRack, w.info.Rack) {
 		total -= s.bounds.RemoteFactor
 	}
+	if step.LongRunning && s.strayUntil(w) > s.now+maxResidualLease {
+		total -= strayWeight
+	}
 	return total
 }
 
--- a/internal/scheduler/silent.go
+++ b/internal/scheduler/silent.go
@@ -65,7 +65,7 @@
 // enrolled again once it answers. Otherwise later owners would count and await it for as long
 // as it has an entry. The record stays while it tells later owners of stray leases.
 func (s *Shard) dismissSilent(now Instant, w *workerState) {
-	if !w.enrolled && w.previousClaim == 0 || w.enrolling || w.silentFor(now) < dismissDelay || now < w.strayLeasesEndAt || s.confirmationStale(now) || s.nearlyAllSilent(now) || !s.idle(now, w) {
+	if !w.enrolled && w.previousClaim == 0 || w.enrolling || w.silentFor(now) < dismissDelay || now < s.strayUntil(w) || s.confirmationStale(now) || s.nearlyAllSilent(now) || !s.idle(now, w) {
 		return
 	}
 	w.enrolled, w.closed, w.lossRecorded = false, false, false
--- a/internal/scheduler/stray_test.go
+++ b/internal/scheduler/stray_test.go
@@ -13,14 +13,13 @@
 // strayHarness is a harness of workers that restart while renew orders are under way to them.
 type strayHarness struct {
 	*harness
-	strays map[platform.WorkerID]fleet.RenewOrder
-	sent   time.Duration
+	strays map[platform.WorkerID]heldUpRenewal
 }
 
 // newStrayHarness returns a harness of workers whose clocks have run for so long that a lease end
 // on one of them is far ahead for a run that has just begun.
 func newStrayHarness(t *testing.T) *strayHarness {
-	h := &strayHarness{harness: newHarness(t, 6), strays: map[platform.WorkerID]fleet.RenewOrder{}}
+	h := &strayHarness{harness: newHarness(t, 6), strays: map[platform.WorkerID]heldUpRenewal{}}
 	h.run(20 * time.Second)
 	return h
 }
@@ -33,15 +32,10 @@
 	return ids
 }
 
-// sendStrays sends each worker a renew order that is held up.
+// sendStrays sends each worker a renew order with a lease end that is held up.
 func (h *strayHarness) sendStrays() {
-	h.sent = h.now
-	for _, id := range h.workerIDs() {
-		_, order, ok := h.shard.RenewOrder(h.now, id)
-		must.True(h.t, ok)
-		must.Positive(h.t, order.LeaseEnd)
-		h.strays[id] = order
-	}
+	h.strays = h.holdUpLeases()
+	must.MapLen(h.t, h.workers, h.strays)
 }
 
 // restartAll restarts all workers within a time that is shorter than the wait for an answer.
@@ -57,8 +51,8 @@
 
 // deliverStrays hands the orders that were held up to the workers' present runs. No answer arrives.
 func (h *strayHarness) deliverStrays() {
-	for id, order := range h.strays {
-		lists, _ := h.cluster.Renew(h.now, id, order)
+	for id, stray := range h.strays {
+		lists, _ := h.cluster.Renew(h.now, id, stray.order)
 		must.Eq(h.t, fleet.Accepted, lists.Verdict)
 	}
 }
@@ -66,8 +60,8 @@
 // noticeRestarts lets the owner know of the restarts: the orders got no answer, and the entries
 // name other runs.
 func (h *strayHarness) noticeRestarts() {
-	for id := range h.strays {
-		h.shard.RenewFailed(h.now, h.sent, id)
+	for id, stray := range h.strays {
+		h.shard.RenewFailed(h.now, stray.sent, id)
 	}
 	h.syncWorkers()
 }
@@ -311,8 +305,8 @@
 		h.unregistered[id] = true
 	}
 	h.now += 600 * time.Millisecond
-	for id := range h.strays {
-		h.shard.RenewFailed(h.now, h.sent, id)
+	for id, stray := range h.strays {
+		h.shard.RenewFailed(h.now, stray.sent, id)
 	}
 	h.run(2 * time.Second)
 	h.syncWorkers() // the entries are removed
@@ -337,13 +331,13 @@
 	h.sendStrays()
 	for _, id := range h.workerIDs()[:4] {
 		h.cluster.Crash(id)
-		h.shard.RenewFailed(h.now, h.sent, id)
+		h.shard.RenewFailed(h.now, h.strays[id].sent, id)
 	}
 	h.run(2 * time.Second)
 	before := h.claim
 	for _, id := range h.workerIDs()[:4] {
 		h.cluster.Boot(h.now, id)
-		lists, _ := h.cluster.Renew(h.now, id, h.strays[id])
+		lists, _ := h.cluster.Renew(h.now, id, h.strays[id].order)
 		must.Eq(t, fleet.Accepted, lists.Verdict)
 	}
 	h.setPartitioned(true, h.workerIDs()[4:]...)
@@ -364,8 +358,8 @@
 	h.sendStrays()
 	h.restartAll()
 	h.deliverStrays()
-	for id := range h.strays {
-		h.shard.RenewFailed(h.now, h.sent, id)
+	for id, stray := range h.strays {
+		h.shard.RenewFailed(h.now, stray.sent, id)
 	}
 	h.recordingPaused = true
 	h.syncWorkers()
@@ -429,7 +423,8 @@
 func TestRenewalPreparedForRunBeforeIsSent(t *testing.T) {
 	h := newStrayHarness(t)
 	id := h.workerIDs()[0]
-	_, order, _ := h.shard.RenewOrder(h.now, id)
+	order := h.holdUpLeases()[id].order
+	must.Positive(t, order.LeaseEnd)
 	h.cluster.Crash(id)
 	h.now += 100 * time.Millisecond
 	h.cluster.Boot(h.now, id)
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -281,7 +281,7 @@
 		return w.ended.through >= w.earlierEndsAt
 	}
 	confirmed := s.confirmedTime(now)
-	if confirmed < w.strayLeasesEndAt {
+	if confirmed < s.strayUntil(w) {
 		return false
 	}
 	stray := time.Duration(0)
@@ -292,14 +292,6 @@
 	return s.takeover.leasesExpired(confirmed, w.previousClaim, stray) || w.closedBefore(confirmed-max(maxResidualLease, stray))
 }
 
-// maxStrayLease is how long a lease may last after its order was sent if the worker has restarted
-// since: the order may be carried out late, and its lease end, on the clock of the run before, may
-// be so far ahead for the new run that the lease is the longest one.
-func (s *Shard) maxStrayLease() time.Duration { return maxOrderDelay + slowestClock(s.bounds.MaxLease) }
-
-// slowestClock returns how long a time d on the slowest clock may take.
-func slowestClock(d time.Duration) time.Duration { return d*100/98 + leaseExpiryMargin }
-
 // closedBefore reports whether the last owner to reach the worker had recorded by the given time
 // that it extends no lease there. This owner has read all that earlier ones could record.
 func (w *workerState) closedBefore(at Instant) bool { return w.closedAt != 0 && w.closedAt <= at }
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -188,13 +188,10 @@
 	h.recordingPaused = true
 	h.takeOver(false)
 	h.run(time.Second)
-	_, order, ok := h.shard.RenewOrder(h.now, "w03")
-	must.True(t, ok)
-	must.Zero(t, order.LeaseEnd)
+	must.Zero(t, h.grantsLease("w03"))
 	h.recordingPaused = false
 	h.run(time.Second)
-	_, order, _ = h.shard.RenewOrder(h.now, "w03")
-	must.Positive(t, order.LeaseEnd)
+	must.Positive(t, h.grantsLease("w03"))
 }
 
 // TestLateKnownJobIsNotStartedTwice: an earlier owner started a task of a job that the
--- a/internal/scheduler/uncertain_run_test.go
+++ b/internal/scheduler/uncertain_run_test.go
@@ -53,8 +53,7 @@
 func TestNoStartOnClockOfEarlierRun(t *testing.T) {
 	const away = 3 * time.Second
 	awaitListsAfter := func(h *harness, held time.Duration) (arrive func()) {
-		sent := h.now
-		_, order, _ := h.shard.RenewOrder(sent, "w00")
+		sent, order := h.now, h.awaitOrder("w00")
 		lists, _ := h.cluster.Renew(sent+held, "w00", order)
 		return func() { h.shard.RenewAnswered(h.now, sent, "w00", lists) }
 	}
--- a/internal/scheduler/unheard_test.go
+++ b/internal/scheduler/unheard_test.go
@@ -122,15 +122,10 @@
 	h.recordingPaused = true
 	h.cluster.SetPartitioned("w00", false)
 	h.run(500 * time.Millisecond)
-	lease := func() platform.WorkerTime {
-		_, order, ok := h.shard.RenewOrder(h.now, "w00")
-		must.True(t, ok)
-		return order.LeaseEnd
-	}
-	must.Zero(t, lease())
+	must.Zero(t, h.grantsLease("w00"))
 	h.recordingPaused = false
 	h.run(200 * time.Millisecond)
-	must.Positive(t, lease())
+	must.Positive(t, h.grantsLease("w00"))
 	h.checkViolations()
 }
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -5,7 +5,6 @@
 	"maps"
 	"math"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/siskinvane/siskinvane/internal/platform"
@@ -70,15 +69,11 @@
 	// renewOrderedAt is when the last renew order was prepared, and renewOrderedRun for which run.
 	renewOrderedAt  Instant
 	renewOrderedRun int64
-	// openLeaseOrders are the times at which orders with a lease end were sent that may still be
-	// carried out. strayLeasesEndAt is when the leases are over at the latest that orders meant for
-	// earlier runs may give the present one, or zero; strayRecorded is set while the log tells of
-	// them.
-	openLeaseOrders  []Instant
-	strayLeasesEndAt Instant
-	strayRecorded    bool
-	attempts         map[job.TaskRef]*attempt
-	reserved         platform.Resources
+	// leasedAt is when the last order was sent that has granted the present run a lease, or zero.
+	leasedAt Instant
+	stray    strayLeases
+	attempts map[job.TaskRef]*attempt
+	reserved platform.Resources
 	// arriving counts the tasks of each step that are about to move to the worker, while
 	// drainWorkers runs.
 	arriving map[*stepRun]int
@@ -175,7 +170,7 @@
 		return
 	}
 	w.registered = false
-	if s.idle(now, w) && w.strayOver(now) {
+	if s.idle(now, w) && s.strayOver(now, w) {
 		s.forgetWorker(w)
 	}
 }
@@ -200,7 +195,7 @@
 	w.info = fleet.Worker{ID: e.Worker, Addr: addr, Service: e.Service, Capacity: e.Capacity, Started: e.Run}
 	w.previousClaim, w.recordedRun = e.Claim, e.Run
 	if e.StrayLeases > 0 {
-		w.strayLeasesEndAt = e.SeenAt + slowestClock(min(e.StrayLeases, s.maxStrayLease()))
+		w.stray.endAt = e.SeenAt + slowestClock(min(e.StrayLeases, s.maxStrayLease()))
 	}
 	s.takeover.enrolledWorkers++
 	s.journal.listed[e.Worker] = true
@@ -217,13 +212,9 @@
 // then may belong to either run; the lists of the new run tell which. Unanswered start
 // orders may still reach the new run, so it is ordered to stop those attempts.
 func (s *Shard) handleRestart(now Instant, w *workerState, run int64) {
-	// Orders that were answered may have been carried out by this run.
-	w.strayLeasesEndAt = max(w.strayLeasesEndAt, now+slowestClock(s.bounds.MaxLease))
-	for _, sent := range w.openLeaseOrders {
-		w.strayLeasesEndAt = max(w.strayLeasesEndAt, sent+s.maxStrayLease())
-	}
-	s.noteRestart(now, w, run)
+	s.strayOnRestart(w)
 	w.setRun(now, run)
+	s.noteRestart(now, w)
 	w.gone, w.heardAt = false, 0
 	for _, a := range w.attempts {
 		if a.confirmedAt != 0 && a.confirmedAt < w.listsRequested {
@@ -240,16 +231,18 @@
 		}
 	}
 	w.enrolling = false
-	// The lease of an order sent before the restart was counted on the old run's clock.
-	w.clock = workerClock{readAt: now, earlierLease: s.bounds.MaxLease}
+	w.clock = workerClock{readAt: now}
+	if s.predecessorsMayOrder(now) {
+		w.clock.earlierLease = s.bounds.MaxLease
+	}
 	w.ended, w.earlierEndsAt = endedLog{}, 0
 	w.unresponsiveSince = 0
 	w.health = health{}
 }
 
 // noteRestart adds a note on the worker's next run.
-func (s *Shard) noteRestart(now Instant, w *workerState, run int64) {
-	n := RestartNote{Worker: w.info.ID, Run: run, Before: w.run, StrayLeases: w.strayLeases(now)}
+func (s *Shard) noteRestart(now Instant, w *workerState) {
+	n := RestartNote{Worker: w.info.ID, Run: w.run, Before: w.runBefore, StrayLeases: s.strayLeft(now, w)}
 	if w.listsReceived != 0 {
 		n.Silent = now - w.listsReceived
 	}
@@ -262,15 +255,15 @@
 // long ago.
 func (s *Shard) setFirstRun(now Instant, w *workerState, run int64, clock platform.WorkerTime) {
 	w.setRun(now, run)
-	longest := now + slowestClock(s.bounds.MaxLease)
+	longest := now + s.longestLease()
 	const unnoticed = maxRenewWait + renewAnswerTime
 	switch {
 	case w.recordedRun == 0 && len(s.takeover.predecessors) > 0:
-		w.strayLeasesEndAt = min(longest, now+max(0, unnoticed+s.maxStrayLease()-time.Duration(clock)))
+		w.stray.endAt = min(longest, now+max(0, unnoticed+s.maxStrayLease()-time.Duration(clock)))
 	case run != w.recordedRun && w.recordedRun != 0:
-		w.strayLeasesEndAt = longest
-	case w.strayLeasesEndAt != 0:
-		w.strayLeasesEndAt = min(w.strayLeasesEndAt, longest)
+		w.stray.endAt = longest
+	case w.stray.endAt != 0:
+		w.stray.endAt = min(w.stray.endAt, longest)
 	}
 }
 
@@ -416,39 +409,6 @@
 	return end
 }
 
-// strayLeases returns for how long the leases may last that orders meant for earlier runs may give
-// the present one.
-func (w *workerState) strayLeases(now Instant) time.Duration {
-	return max(0, w.strayLeasesEndAt-now)
-}
-
-// grantLease returns the lease end to request of the worker's present run for a lease of the
-// given length from now.
-func (w *workerState) grantLease(now Instant, length time.Duration) platform.WorkerTime {
-	w.openLeaseOrders = slices.DeleteFunc(w.openLeaseOrders, func(sent Instant) bool { return now >= sent+maxOrderDelay })
-	w.openLeaseOrders = append(w.openLeaseOrders, now)
-	return w.clock.extendLease(now, length)
-}
-
-// settleLeaseOrder records that an order with a lease end, sent at the time sent, will not be
-// carried out any more.
-func (w *workerState) settleLeaseOrder(sent Instant) {
-	if i := slices.Index(w.openLeaseOrders, sent); i >= 0 {
-		w.openLeaseOrders = slices.Delete(w.openLeaseOrders, i, i+1)
-	}
-}
-
-// strayOver reports whether no order for an earlier run of the worker can give a lease any more or
-// has given one that lasts, also if the worker has restarted since it last answered.
-func (w *workerState) strayOver(now Instant) bool {
-	return now >= w.strayLeasesEndAt && !slices.ContainsFunc(w.openLeaseOrders, func(sent Instant) bool { return now < sent+maxOrderDelay })
-}
-
-// leasesExpireAt returns when everything that runs on the worker has lost its lease at the latest.
-func (w *workerState) leasesExpireAt() Instant {
-	return max(w.clock.leasesExpireAt(), w.strayLeasesEndAt)
-}
-
 // leasesExpireAt returns when every requested lease has expired, also on the slowest
 // clock.
 func (c *workerClock) leasesExpireAt() Instant {
