Scheduler: a start that an unseen run has answered is waited for

TWICE: a worker restarts, its next run answers a start order, and is cut off before the owner has heard of it, without an entry. The owner took the lease for one on the clock of the run before, 5 s, and started the task elsewhere while the run held the longest lease.

Cause: an answer to a start does not name its run. Its clock tells, though: a run that began after the last lists shows no more than the time since then.

Change: an answer with such a clock counts as one of an unknown run, and its lease is waited for, until lists that were read later prove the run. Any other answer is of the present run. An unhealthy worker's refusal grants no lease.

--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -436,6 +436,26 @@
 	}
 }
 
+// TestTaskRunsTwiceAfterAnswerOfUnseenRun: a run that the owner never saw had answered a start order, whose
+// lease was taken for one on the clock of the run before.
+func TestTaskRunsTwiceAfterAnswerOfUnseenRun(t *testing.T) {
+	h := newHarness(t, 2)
+	h.run(20 * time.Second)
+	h.cluster.SetPartitioned("w01", true)
+	h.run(500 * time.Millisecond)
+	h.cluster.Crash("w00")
+	h.now += 300 * time.Millisecond
+	h.cluster.Boot(h.now, "w00")
+	id := h.submit(firstID, fixedLength(100), nil, batchStep(1))
+	h.plan()
+	must.Eq(t, 1, h.cluster.Running(id))
+	h.cluster.SetPartitioned("w00", true)
+	h.cluster.SetPartitioned("w01", false)
+	h.run(40 * time.Second)
+	h.checkViolations()
+	must.Eq(t, 2, h.cluster.Starts())
+}
+
 // TestTaskThatLastsStartsBesideStrayLeasesLast: a task that lasts started on a worker whose tasks would wait
 // for stray leases if it was lost, although another one had room.
 func TestTaskThatLastsStartsBesideStrayLeasesLast(t *testing.T) {
--- a/internal/scheduler/stray.go
+++ b/internal/scheduler/stray.go
@@ -25,8 +25,8 @@
 type strayLeases struct {
 	// open are the orders that may still be carried out, or may have been by a later run.
 	open []leaseOrder
-	// unprovenAt is when an answer arrived last that does not tell which run has carried out its
-	// order, or zero if the worker's present run is known to have read its lists later.
+	// unprovenAt is when an answer arrived last of which it is not known whether the present run has
+	// carried out the order or one that has begun since, or zero.
 	unprovenAt Instant
 	// endAt is when the stray leases are over at the latest that orders without an open answer
 	// have given, or zero.
@@ -80,22 +80,32 @@
 }
 
 // startLeaseAnswered records the outcome of a start order for the lease that it grants. The answer does
-// not tell which run has given it.
+// not name the run that has given it, but a run that has begun since the present one last read its lists
+// has a clock that shows no more than the time since then.
 func (s *Shard) startLeaseAnswered(now Instant, w *workerState, sent Instant, answer fleet.Answer, err error) {
 	o, granted := w.stray.settle(sent)
-	if !granted || err != nil || answer.Verdict == fleet.RefusedFenced || answer.Verdict == fleet.RefusedOtherRun {
+	if !granted || err != nil || !mayGrantLease(answer.Verdict) {
 		return
 	}
-	if o.run != w.run {
+	switch {
+	case o.run != w.run:
 		w.stray.endAt = max(w.stray.endAt, now+s.longestLease())
-		return
-	}
-	w.stray.unprovenAt = now
-	if answer.Verdict == fleet.Accepted {
+	case !w.listsRead() || answer.Clock <= platform.WorkerTime(now-w.listsReadAt):
+		w.stray.unprovenAt = now
+	case answer.Verdict == fleet.Accepted:
 		w.leasedAt = max(w.leasedAt, sent)
 	}
 }
 
+// mayGrantLease reports whether a start order may have granted its lease although it was refused.
+func mayGrantLease(v fleet.Verdict) bool {
+	switch v {
+	case fleet.RefusedFenced, fleet.RefusedOtherRun, fleet.RefusedUnhealthy:
+		return false
+	}
+	return true
+}
+
 // prove records that the worker's present run has read its lists after the time at: the orders that
 // were answered before were carried out by it or by an earlier run.
 func (l *strayLeases) prove(at Instant) {
@@ -107,12 +117,18 @@
 // strayOnRestart records the leases that answered orders may have given the worker's next run. Open
 // orders count as stray from now on.
 func (s *Shard) strayOnRestart(w *workerState) {
-	if w.stray.unprovenAt != 0 {
-		w.stray.endAt = max(w.stray.endAt, w.stray.unprovenAt+s.longestLease())
-	}
+	w.stray.endAt = max(w.stray.endAt, s.unprovenUntil(w))
 	w.stray.unprovenAt, w.leasedAt = 0, 0
 }
 
+// unprovenUntil returns when the leases are over that orders without a proven run have given, or zero.
+func (s *Shard) unprovenUntil(w *workerState) Instant {
+	if w.stray.unprovenAt == 0 {
+		return 0
+	}
+	return w.stray.unprovenAt + s.longestLease()
+}
+
 // strayUntil returns when the stray leases on the worker's present run are over at the latest, or a
 // time before now.
 func (s *Shard) strayUntil(w *workerState) Instant {
@@ -138,7 +154,7 @@
 
 // leasesExpireAt returns when everything that runs on the worker has lost its lease at the latest.
 func (s *Shard) leasesExpireAt(w *workerState) Instant {
-	return max(w.clock.leasesExpireAt(), s.strayUntil(w))
+	return max(w.clock.leasesExpireAt(), s.strayUntil(w), s.unprovenUntil(w))
 }
 
 // forgetStrayLeases records, once the stray leases on a worker are over, that later owners need not
