--- a/internal/process/node/takeover_test.go
+++ b/internal/process/node/takeover_test.go
@@ -234,7 +234,9 @@
 	if o.Wait > 0 {
 		_ = pause.For(ctx, time.Millisecond)
 	}
-	w.leaseEnd.Store(int64(o.LeaseEnd))
+	if o.LeaseEnd != 0 {
+		w.leaseEnd.Store(int64(o.LeaseEnd))
+	}
 	return fleet.RenewReply{
 		Verdict: fleet.Accepted, Clock: 1, Started: 1, Running: []fleet.Running{{Task: w.runs, Attempt: 1}},
 	}, nil
