Scheduler: records tell of leases whose run is not proven

TWICE: a worker restarts, its next run answers a start order and is cut off before the owner has heard of it.

Found by reading. TestTaskRunsTwiceAfterRecordOfUnseenRunIsClosed fails before.

Change: StrayLeases of an enrollment covers such leases; its form is the same.

--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -29,8 +29,8 @@
 	harmRenewWait = 300 * time.Millisecond
 	// quorumRenewWait applies while leases depend on when a quorum of the workers has answered.
 	quorumRenewWait = 600 * time.Millisecond
-	// leaseRenewAge is how long before the next lease order the last one may have been sent. A pause
-	// between orders and the time for an unanswered one come on top.
+	// leaseRenewAge is the age of the last lease order at which the next one is due. A pause between
+	// orders and the time for an unanswered one come on top.
 	leaseRenewAge = maxRenewWait
 	// minRenewWait is the shortest wait for which an order is sent that grants no lease.
 	minRenewWait = 200 * time.Millisecond
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -111,7 +111,8 @@
 	lostRuns map[workerRun]*lostRun
 	// stopsInFlight counts the stop orders that were issued and have no outcome yet.
 	stopsInFlight map[stopKey]int
-	adviceCalls   adviceCalls
+	// adviceCalls are the requests to the advice service.
+	adviceCalls adviceCalls
 
 	journal journal
 	pending Actions
--- a/internal/scheduler/stray.go
+++ b/internal/scheduler/stray.go
@@ -141,9 +141,10 @@
 	return until
 }
 
-// strayLeft returns for how long stray leases may last on the worker's present run.
+// strayLeft returns for how long leases may last on the worker that are not counted on its present
+// run's clock.
 func (s *Shard) strayLeft(now Instant, w *workerState) time.Duration {
-	return max(0, s.strayUntil(w)-now)
+	return max(0, s.strayUntil(w)-now, s.unprovenUntil(w)-now)
 }
 
 // strayOver reports whether no order for an earlier run of the worker can give a lease any more or
@@ -160,7 +161,7 @@
 // forgetStrayLeases records, once the stray leases on a worker are over, that later owners need not
 // wait for them.
 func (s *Shard) forgetStrayLeases(now Instant, w *workerState) {
-	if w.stray.recorded && w.enrolled && now >= s.strayUntil(w) && !w.unresponsive() {
+	if w.stray.recorded && w.enrolled && s.strayLeft(now, w) == 0 && !w.unresponsive() {
 		w.stray.recorded = false
 		s.journal.enroll(w)
 	}
--- a/internal/scheduler/stray_test.go
+++ b/internal/scheduler/stray_test.go
@@ -431,3 +431,23 @@
 	h.syncWorkers()
 	must.False(t, h.shard.RenewalCurrent(h.now, id, order))
 }
+
+// TestTaskRunsTwiceAfterRecordOfUnseenRunIsClosed: a run that its owner never saw had answered a start
+// order, and the record that closed the silent worker told the next owner of no longer lease.
+func TestTaskRunsTwiceAfterRecordOfUnseenRunIsClosed(t *testing.T) {
+	h := newStrayHarness(t)
+	id := h.submit(firstID, fixedLength(100), nil, batchStep(1))
+	start := h.beginOnlyStart()
+	w := start.Worker.ID
+	h.unregistered[w] = true
+	h.restartOne(w)
+	answer, _ := h.cluster.Start(h.now, w, start.Order)
+	must.Eq(t, fleet.Accepted, answer.Verdict)
+	h.shard.StartAnswered(h.now, start, answer, nil)
+	h.cluster.SetPartitioned(w, true)
+	h.run(500 * time.Millisecond)
+	must.True(t, h.enrolled[w].Closed)
+	h.replaceKilledOwner()
+	must.Eq(t, 1, h.cluster.Running(id))
+	h.finish(h.cluster.Starts())
+}
