--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -1,12 +1,14 @@
 package dispatch
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"strings"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/fleet"
 	"github.com/siskinvane/siskinvane/internal/process/event"
 	"github.com/siskinvane/siskinvane/internal/scheduler"
@@ -48,6 +50,13 @@
 			"worker": note.Worker, "run": note.Run, "before": note.Before, "silent_ms": note.Silent.Milliseconds(), "stray_leases_ms": note.StrayLeases.Milliseconds(),
 		})
 	}
+	for _, note := range n.Unproven {
+		d.counter("starts.unproven").Inc(1)
+		event.StartUnproven.Log(d.Logger, logrus.Fields{
+			"task": note.Task.String(), "attempt": note.Attempt, "worker": note.Worker, "verdict": note.Verdict.String(),
+			"clock_ms": note.Clock.Milliseconds(), "lists_age_ms": note.ListsAge.Milliseconds(),
+		})
+	}
 	for _, note := range n.Throttled {
 		d.counter("attempts.paced").Inc(1)
 		event.TaskPaced.Log(d.Logger, logrus.Fields{"task": note.Task.String(), "worker": note.Worker, "percent": note.Percent})
@@ -215,11 +224,14 @@
 	return metrics.GetOrRegisterCounter(name, d.Metrics)
 }
 
-// countRefusedStart counts a start order that a worker refused or did not answer.
+// countRefusedStart counts a start order that a worker refused or did not answer, or that was not sent.
 func (d *Dispatcher) countRefusedStart(v fleet.Verdict, err error) {
-	if err != nil {
+	switch {
+	case errors.Is(err, platform.ErrOutcomeUnknown):
 		d.counter("starts.unanswered").Inc(1)
-		return
+	case err != nil:
+		d.counter("starts.unsent").Inc(1)
+	default:
+		d.counter("starts.refused_" + v.String()).Inc(1)
 	}
-	d.counter("starts.refused_" + v.String()).Inc(1)
 }
--- a/internal/process/dispatch/orders.go
+++ b/internal/process/dispatch/orders.go
@@ -83,6 +83,7 @@
 			"task": a.Order.Task.String(), "attempt": a.Order.Attempt, "worker": a.Worker.ID,
 			"verdict": answer.Verdict.String(), "error": err,
 			"queued_ms": (sent - o.addedAt).Milliseconds(), "answer_ms": (d.Clock() - sent).Milliseconds(),
+			"run": a.Run, "run_age_ms": a.RunAge.Milliseconds(),
 		})
 	}
 	d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) {
--- a/internal/process/event/job.go
+++ b/internal/process/event/job.go
@@ -29,6 +29,7 @@
 	StopsOrdered        = declare(7121, logrus.InfoLevel, "further tasks ordered to stop")
 	AttemptsEnded       = declare(7122, logrus.InfoLevel, "further attempts ended")
 
+	StartUnproven    = declare(7123, logrus.InfoLevel, "start answered by a run that is not known")
 	StartNotAccepted = declare(7101, logrus.InfoLevel, "start not accepted")
 	AdviceFailed     = declare(7104, logrus.WarnLevel, "advice not given")
 	AdviceUnreadable = declare(7105, logrus.WarnLevel, "advice partly unreadable")
--- a/internal/scheduler/notes.go
+++ b/internal/scheduler/notes.go
@@ -23,6 +23,7 @@
 	Trials    []TrialNote
 	Unheard   []UnheardNote
 	Restarts  []RestartNote
+	Unproven  []UnprovenNote
 	// Evacuations are those that the owner has begun to obey.
 	Evacuations []Evacuation
 	Reserved    []ReservedNote
@@ -64,6 +65,18 @@
 	StrayLeases time.Duration
 }
 
+// UnprovenNote says that a start order was answered by a run of its worker that may have begun since the
+// worker's latest lists.
+type UnprovenNote struct {
+	Task    job.TaskRef
+	Attempt platform.Attempt
+	Worker  platform.WorkerID
+	Verdict fleet.Verdict
+	// Clock is the reading of the run's clock in the answer, and ListsAge the time since the worker read its
+	// latest lists.
+	Clock, ListsAge time.Duration
+}
+
 // TrialNote says that a filler starts or goes on without the headroom that it is expected to
 // need, to learn its cost.
 type TrialNote struct {
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -58,6 +58,7 @@
 	action.Worker, action.Run, action.Repeated = a.worker.info, a.worker.run, a.startSent
 	a.orderedAt, a.startSent = now, true
 	action.Order.LeaseEnd, action.sent = s.grantLease(now, a.worker, s.grantableLease(now)), now
+	action.RunAge = now - a.worker.listsReadAt
 	return action, true
 }
 
@@ -75,7 +76,7 @@
 // StartAnswered handles the answer to a start order. err is nil if the worker answered.
 func (s *Shard) StartAnswered(now Instant, action StartAction, answer fleet.Answer, err error) {
 	if w, ok := s.workers[action.Worker.ID]; ok && !errors.Is(err, platform.ErrOutcomeUnknown) {
-		s.startLeaseAnswered(now, w, action.sent, answer, err)
+		s.startLeaseAnswered(now, w, action, answer, err)
 	}
 	a := s.findAttempt(action.Worker, action.Order)
 	if a == nil {
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -174,6 +174,8 @@
 	Order fleet.StartOrder
 	// Repeated is set if the order was sent before.
 	Repeated bool
+	// RunAge is the time since that run last read its lists, as far as this owner knows.
+	RunAge time.Duration
 	// sent is when BeginStart returned the order.
 	sent Instant
 }
--- a/internal/scheduler/stray.go
+++ b/internal/scheduler/stray.go
@@ -82,8 +82,8 @@
 // startLeaseAnswered records the outcome of a start order for the lease that it grants. The answer does
 // not name the run that has given it, but a run that has begun since the present one last read its lists
 // has a clock that shows no more than the time since then.
-func (s *Shard) startLeaseAnswered(now Instant, w *workerState, sent Instant, answer fleet.Answer, err error) {
-	o, granted := w.stray.settle(sent)
+func (s *Shard) startLeaseAnswered(now Instant, w *workerState, action StartAction, answer fleet.Answer, err error) {
+	o, granted := w.stray.settle(action.sent)
 	if !granted || err != nil || !mayGrantLease(answer.Verdict) {
 		return
 	}
@@ -92,8 +92,12 @@
 		w.stray.endAt = max(w.stray.endAt, now+s.longestLease())
 	case !w.listsRead() || answer.Clock <= platform.WorkerTime(now-w.listsReadAt):
 		w.stray.unprovenAt = now
+		s.notes.Unproven = append(s.notes.Unproven, UnprovenNote{
+			Task: action.Order.Task, Attempt: action.Order.Attempt, Worker: w.info.ID, Verdict: answer.Verdict,
+			Clock: time.Duration(answer.Clock), ListsAge: now - w.listsReadAt,
+		})
 	case answer.Verdict == fleet.Accepted:
-		w.leasedAt = max(w.leasedAt, sent)
+		w.leasedAt = max(w.leasedAt, action.sent)
 	}
 }
 
