Scheduler: a start without an answer binds its task to the worker

A start had been sent to it, a run that the owner never saw carried it out, no answer came, and the owner gave the start up: it waited for the leases of the run before, 5 s, while the new run holds the longest lease, 10 s, from whenever the order is carried out.

Cause: what an order without an answer may still do was tied to the run that it was meant for, and forgotten with it. "A call that receives no response ... may also be executed seconds later", by whatever run is up then.

Change: the owner keeps each such start, with the times of its tries, for as long as it may be carried out and what it started may last. Meanwhile its task starts on no other worker; on the same one it may, once that run has accepted the stop or listed the end, since it ends with that run. What is waited for is the task alone: other tasks of a lost worker start elsewhere as before. An order that was answered after all, or whose only try is listed, binds nothing.

A worker that restarts and accepts the stop in its new run frees the task as before: a suspect has to start elsewhere (TestGangWhoseMembersCrashInTurnIsGivenUp).

--- a/internal/process/dispatch/activity.go
+++ b/internal/process/dispatch/activity.go
@@ -117,7 +117,7 @@
 			"job": note.Job, "occurrence": note.Occurrence, "step": note.Step, "waiting": note.Waiting, "waited_ms": note.Waited.Milliseconds(),
 			"idle_ms": note.Idle.Milliseconds(), "evacuated": note.Evacuated, "unusable": note.Unusable, "set_aside": note.SetAside, "no_room": note.NoRoom, "unfit": note.Unfit,
 			"unpermitted": note.Unpermitted, "harmful": note.Harmful, "lacking_headroom": math.Round(note.LackingHeadroom*100) / 100,
-			"occupied": note.Occupied, "unheard": note.Unreconciled,
+			"occupied": note.Occupied, "open_start": note.OpenStart, "unheard": note.Unreconciled,
 			"milli_cpu": note.Size.MilliCPU, "memory_mb": note.Size.MemoryMB, "largest_gap": note.LargestGap, "free": note.Free,
 			"entries_age_ms": note.EntriesAge.Milliseconds(), "no_order": note.HeldUp, "mostly_free": note.MostlyFree,
 		})
--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -41,7 +41,10 @@
 	// it was answered.
 	orderedAt   Instant
 	confirmedAt Instant
-	startTries  int
+	// startOrders counts the start orders, startTries those of them that got no answer.
+	startOrders, startTries int
+	// startSentAt is when the last start order was sent.
+	startSentAt Instant
 	// startSent is set once a start order was sent.
 	startSent bool
 	// startUncertain is set once a start order got no answer: the worker may still
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -64,7 +64,18 @@
 func (p *placement) assumeGang(r *stepRun, image headroom.ImageID, candidates []*workerState, number platform.Attempt) []*attempt {
 	members := make([]*attempt, 0, len(r.tasks))
 	rated := p.rate(r, image, candidates)
-	for _, t := range r.tasks {
+	// The others must not take the only workers of these.
+	tasks := slices.Clone(r.tasks)
+	slices.SortStableFunc(tasks, func(a, b *task) int {
+		switch boundA, boundB := p.shard.isBound(p.now, a), p.shard.isBound(p.now, b); {
+		case boundA == boundB:
+			return 0
+		case boundA:
+			return -1
+		}
+		return 1
+	})
+	for _, t := range tasks {
 		w := rated.best(t)
 		if w == nil {
 			for _, a := range members {
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -271,7 +271,7 @@
 func (s *Shard) expireLeases(now Instant) {
 	s.expireLostRuns(now)
 	for _, w := range s.workers {
-		w.expireUnansweredStarts(now)
+		s.expireUnansweredStarts(now, w)
 		if !w.registered && s.idle(now, w) && s.strayOver(now, w) {
 			s.forgetWorker(w)
 			continue
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -194,7 +194,9 @@
 		s.loseAttempt(now, a, "worker replaced")
 	}
 	// Orders for this worker are refused at its address.
-	clear(w.unansweredStarts)
+	for ref := range w.unansweredStarts {
+		s.forgetUnansweredStart(w, ref)
+	}
 	s.resolveLostRuns(now, id, noRun)
 	s.resolveCrashes(now, id, noRun)
 	s.dirty.add(w)
--- a/internal/scheduler/notes.go
+++ b/internal/scheduler/notes.go
@@ -184,6 +184,9 @@
 	// are silent, leave or are not known well enough, Occupied ones run another attempt of the
 	// task or a task that has just started.
 	Evacuated, Unusable, SetAside, NoRoom, Unfit, Unpermitted, Harmful, Occupied int
+	// OpenStart counts the workers on which the task may not start while another one may carry out a start
+	// order of it that got no answer.
+	OpenStart int
 	// LackingHeadroom is the headroom that is lacking on the least harmed of the Harmful
 	// workers, where 1 is the headroom of a serving task at its target.
 	LackingHeadroom float64
--- /dev/null
+++ b/internal/scheduler/openstart.go
@@ -0,0 +1,142 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/siskinvane/siskinvane/internal/platform"
+	"github.com/siskinvane/siskinvane/internal/scheduler/job"
+)
+
+// A start order without an answer may be carried out until maxOrderDelay after it was sent, by whatever run
+// of its worker is up then: a new run knows neither the fencing token nor the stop orders of the run before.
+// Until the order is over its task starts on no other worker. On the same worker it may: a run that carries
+// the order out has replaced the one in which the task ran.
+
+// unansweredStart are the start orders of an attempt that got no answer. An accepted stop order does not end
+// them, since the next run of the worker would not know of that order.
+type unansweredStart struct {
+	number platform.Attempt
+	// run is the worker's run that the last of the orders was meant for.
+	run int64
+	// sentAt are when the orders were sent that may still be carried out or have been.
+	sentAt    []Instant
+	expiresAt Instant
+	// stopDue is set while the worker's run has yet to accept an order to stop the
+	// attempt, which was last issued at stopOrderedAt. stoppedAt is when it was accepted. ended is set if the
+	// attempt has ended in that run.
+	stopDue                  bool
+	stopOrderedAt, stoppedAt Instant
+	ended                    bool
+}
+
+// addUnansweredStart records that the last start order of an attempt may still be carried out.
+func (s *Shard) addUnansweredStart(a *attempt) {
+	w := a.worker
+	start := w.unansweredStarts[a.ref]
+	if start == nil {
+		start = &unansweredStart{}
+		w.unansweredStarts[a.ref] = start
+	}
+	// To stop the attempt stops the earlier ones as well.
+	start.number, start.run = a.number, a.run
+	start.beginRun()
+	if !slices.Contains(start.sentAt, a.startSentAt) {
+		start.sentAt = append(start.sentAt, a.startSentAt)
+	}
+	start.expiresAt = a.startSentAt + maxOrderDelay
+	a.startExpiresAt = start.expiresAt
+	if !slices.Contains(s.startsOpenOn[a.ref], w) {
+		s.startsOpenOn[a.ref] = append(s.startsOpenOn[a.ref], w)
+	}
+}
+
+// beginRun records that the worker's present run has done nothing yet that would make it refuse the orders.
+func (u *unansweredStart) beginRun() { u.stopDue, u.stoppedAt, u.ended = false, 0, false }
+
+// refused reports whether the present run of the worker refuses the orders and runs nothing that they have
+// started.
+func (u *unansweredStart) refused(w *workerState) bool {
+	return u.ended || u.stoppedAt != 0 && w.listsRequested > u.stoppedAt
+}
+
+// settleStart records that a start order of a task, sent at the time sent, will not be carried out any more.
+func (s *Shard) settleStart(w *workerState, ref job.TaskRef, sent Instant) {
+	start := w.unansweredStarts[ref]
+	if start == nil {
+		return
+	}
+	start.sentAt = slices.DeleteFunc(start.sentAt, func(at Instant) bool { return at == sent })
+	if len(start.sentAt) == 0 {
+		s.forgetUnansweredStart(w, ref)
+	}
+}
+
+// startSeen records that an attempt runs on its worker or has ended there. If its order was sent only once, it
+// was carried out.
+func (s *Shard) startSeen(a *attempt, ended bool) {
+	if a.startOrders == 1 {
+		s.settleStart(a.worker, a.ref, a.startSentAt)
+	}
+	if start := a.worker.unansweredStarts[a.ref]; ended && start != nil && start.number <= a.number {
+		start.stopDue, start.ended = false, true
+	}
+}
+
+func (s *Shard) forgetUnansweredStart(w *workerState, ref job.TaskRef) {
+	delete(w.unansweredStarts, ref)
+	s.startsOpenOn[ref] = slices.DeleteFunc(s.startsOpenOn[ref], func(other *workerState) bool { return other == w })
+	if len(s.startsOpenOn[ref]) == 0 {
+		delete(s.startsOpenOn, ref)
+	}
+}
+
+// expireUnansweredStarts drops the start orders that cannot be carried out any more, and of which no run is
+// left that the worker's lists do not tell.
+func (s *Shard) expireUnansweredStarts(now Instant, w *workerState) {
+	for ref, start := range w.unansweredStarts {
+		if s.startOver(now, w, start) {
+			s.forgetUnansweredStart(w, ref)
+		}
+	}
+}
+
+// startOver reports whether the orders cannot be carried out any more, and what they may have started is
+// listed or has lost its lease.
+func (s *Shard) startOver(now Instant, w *workerState, start *unansweredStart) bool {
+	if now < start.expiresAt {
+		return false
+	}
+	return w.listsRead() && w.listsRequested > start.expiresAt || s.confirmedTime(now) >= start.expiresAt+s.longestLease()
+}
+
+// binds reports whether a task may start on no other worker, since the present run or one that follows it may
+// carry the orders out. The run that they were meant for refuses them once the attempt was stopped there, and may
+// still be followed by another one.
+func (s *Shard) binds(now Instant, w *workerState, start *unansweredStart) bool {
+	return !s.startOver(now, w, start) && !(start.refused(w) && start.run != w.run)
+}
+
+// isBound reports whether a start order without an answer keeps a task from most workers. Copies of a speculative
+// task may run beside each other.
+func (s *Shard) isBound(now Instant, t *task) bool {
+	return !t.step.spec.Speculative && slices.ContainsFunc(s.startsOpenOn[t.ref()], func(w *workerState) bool {
+		return s.binds(now, w, w.unansweredStarts[t.ref()])
+	})
+}
+
+// mayStartOn reports whether no start order without an answer keeps a task from a worker. On the worker that may
+// carry it out the task may start again: it ends with the run that refuses the order.
+func (s *Shard) mayStartOn(now Instant, t *task, w *workerState) bool {
+	return t.step.spec.Speculative || !slices.ContainsFunc(s.startsOpenOn[t.ref()], func(other *workerState) bool {
+		start := other.unansweredStarts[t.ref()]
+		return s.binds(now, other, start) && !(other == w && start.refused(w))
+	})
+}
+
+// stopLostStart makes the worker refuse the start orders of an attempt that was given up, so that its task may
+// start there again.
+func (w *workerState) stopLostStart(ref job.TaskRef) {
+	if start := w.unansweredStarts[ref]; start != nil && start.stoppedAt == 0 && !start.ended {
+		start.stopDue = true
+	}
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -56,7 +56,8 @@
 		a.run, a.unendedAt = a.worker.run, now
 	}
 	action.Worker, action.Run, action.Repeated = a.worker.info, a.worker.run, a.startSent
-	a.orderedAt, a.startSent = now, true
+	a.orderedAt, a.startSent, a.startSentAt = now, true, now
+	a.startOrders++
 	action.Order.LeaseEnd, action.sent = s.grantLease(now, a.worker, s.grantableLease(now)), now
 	action.RunAge = now - a.worker.listsReadAt
 	return action, true
@@ -77,6 +78,7 @@
 func (s *Shard) StartAnswered(now Instant, action StartAction, answer fleet.Answer, err error) {
 	if w, ok := s.workers[action.Worker.ID]; ok && !errors.Is(err, platform.ErrOutcomeUnknown) {
 		s.startLeaseAnswered(now, w, action, answer, err)
+		s.settleStart(w, action.Order.Task, action.sent)
 	}
 	a := s.findAttempt(action.Worker, action.Order)
 	if a == nil {
@@ -163,7 +165,7 @@
 // attempt so that a late execution is refused.
 func (s *Shard) handleUnansweredStart(now Instant, a *attempt) {
 	a.startUncertain = true
-	a.worker.addUnansweredStart(now, a)
+	s.addUnansweredStart(a)
 	if a.phase != starting {
 		return
 	}
@@ -213,6 +215,7 @@
 	s.notes.Lost = append(s.notes.Lost, LostNote{
 		Task: a.ref, Attempt: a.number, Worker: a.worker.info.ID, Reason: reason, Silent: now - a.worker.listsReceived,
 	})
+	a.worker.stopLostStart(a.ref)
 	s.dropAttempt(now, a)
 	s.suspectCrash(now, a)
 }
@@ -228,7 +231,7 @@
 		return
 	case a.phase == starting:
 		a.startUncertain = true
-		a.worker.addUnansweredStart(now, a)
+		s.addUnansweredStart(a)
 	}
 	a.phase, a.orderedAt = stopping, now
 	s.notes.Stopped = append(s.notes.Stopped, StoppedNote{Task: a.ref, Attempt: a.number, Worker: a.worker.info.ID, Reason: reason})
@@ -283,7 +286,7 @@
 	}
 	worker.clock.update(now, answer.Clock)
 	if start := worker.unansweredStarts[action.Order.Task]; start != nil && start.number <= action.Order.Attempt {
-		start.stopDue = false
+		start.stopDue, start.stoppedAt = false, now
 	}
 	if a != nil {
 		a.phase, a.confirmedAt = stopped, now
@@ -305,7 +308,7 @@
 		return true
 	})
 	for ref, start := range w.unansweredStarts {
-		if !start.stopDue || now < start.stopOrderedAt+stopRepeatInterval {
+		if !start.stopDue || w.unresponsive() || now < start.stopOrderedAt+stopRepeatInterval {
 			continue
 		}
 		if s.stopsInFlight[stopKey{w.info.ID, ref, start.number}] == 0 {
@@ -314,29 +317,3 @@
 		}
 	}
 }
-
-// addUnansweredStart records that a start order may still be carried out.
-func (w *workerState) addUnansweredStart(now Instant, a *attempt) {
-	a.startExpiresAt = now + maxOrderDelay
-	w.unansweredStarts[a.ref] = &unansweredStart{number: a.number, expiresAt: now + maxOrderDelay}
-}
-
-// expireUnansweredStarts drops the start orders that cannot be carried out any more.
-func (w *workerState) expireUnansweredStarts(now Instant) {
-	for ref, start := range w.unansweredStarts {
-		if now >= start.expiresAt {
-			delete(w.unansweredStarts, ref)
-		}
-	}
-}
-
-// unansweredStart is a start order that got no answer. An accepted stop order does not
-// end it, since the next run of the worker would not know of that order.
-type unansweredStart struct {
-	number    platform.Attempt
-	expiresAt Instant
-	// stopDue is set while the worker's run has yet to accept an order to stop the
-	// attempt, which was last issued at stopOrderedAt.
-	stopDue       bool
-	stopOrderedAt Instant
-}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -237,6 +237,8 @@
 			note.Harmful++
 		case !p.isolated(t, w) || w.attempts[t.ref()] != nil:
 			note.Occupied++
+		case !p.shard.mayStartOn(p.now, t, w):
+			note.OpenStart++
 		}
 	}
 }
@@ -389,7 +391,7 @@
 			return
 		}
 		w := rated.best(t)
-		if w == nil && t.isSuspect() {
+		if w == nil && (t.isSuspect() || p.shard.isBound(p.now, t)) {
 			continue
 		}
 		if w == nil {
--- a/internal/scheduler/rating.go
+++ b/internal/scheduler/rating.go
@@ -51,7 +51,7 @@
 	best, bestCrashed := -1, false
 	for i := range l.rated {
 		c := &l.rated[i]
-		if c.full || !l.placement.mayStartBeside(t, c.worker) || c.worker.attempts[t.ref()] != nil {
+		if c.full || !l.placement.mayStartBeside(t, c.worker) || c.worker.attempts[t.ref()] != nil || !l.placement.shard.mayStartOn(l.placement.now, t, c.worker) {
 			continue
 		}
 		crashed := t.crashedOn(c.worker)
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -93,6 +93,7 @@
 	}
 	note := EndedNote{Task: e.Task, Attempt: e.Attempt, Worker: w.info.ID, Kind: e.Kind}
 	if a != nil {
+		s.startSeen(a, true)
 		if a.startedAt != 0 {
 			note.Ran = a.endedBy(now) - a.startedAt
 		}
@@ -282,6 +283,7 @@
 		a = s.adoptAttempt(now, w, t, r)
 	}
 	a.run, a.unendedAt, a.absentAt, a.endUnread = w.run, now, 0, false
+	s.startSeen(a, false)
 	if a.phase == starting {
 		a.phase, a.confirmedAt = running, now
 		a.startedAt = now
--- a/internal/scheduler/shard.go
+++ b/internal/scheduler/shard.go
@@ -111,6 +111,9 @@
 	lostRuns map[workerRun]*lostRun
 	// stopsInFlight counts the stop orders that were issued and have no outcome yet.
 	stopsInFlight map[stopKey]int
+	// startsOpenOn are the workers of which a run may still carry out a start order of a task that got
+	// no answer, or may have done so unseen.
+	startsOpenOn map[job.TaskRef][]*workerState
 	// adviceCalls are the requests to the advice service.
 	adviceCalls adviceCalls
 
@@ -136,15 +139,15 @@
 		startRates:    map[capacityClass]*startRate{},
 		refusedUntil:  map[capacityClass]Instant{},
 		returns:       returnQueue{},
-		stopsInFlight: map[stopKey]int{},
-		lostRuns:      map[workerRun]*lostRun{},
-		adviceCalls:   adviceCalls{timings: map[queue.Name]*adviceTiming{}},
-		reservations:  reservation.NewBook[*workerState, *stepRun](),
-		entries:       entries{recentRequired: true},
-		evacuations:   evacuations{noted: map[platform.FailureDomain]bool{}},
-		headroom:      headroom.NewModel(),
-		trials:        trials{clearedUntil: map[headroom.ImageID]Instant{}},
-		lengths:       length.NewModel(),
+		stopsInFlight: map[stopKey]int{}, startsOpenOn: map[job.TaskRef][]*workerState{},
+		lostRuns:     map[workerRun]*lostRun{},
+		adviceCalls:  adviceCalls{timings: map[queue.Name]*adviceTiming{}},
+		reservations: reservation.NewBook[*workerState, *stepRun](),
+		entries:      entries{recentRequired: true},
+		evacuations:  evacuations{noted: map[platform.FailureDomain]bool{}},
+		headroom:     headroom.NewModel(),
+		trials:       trials{clearedUntil: map[headroom.ImageID]Instant{}},
+		lengths:      length.NewModel(),
 		journal: journal{
 			dirty: map[job.ID]*jobState{}, enrolled: map[platform.WorkerID]*workerState{},
 			unenrolled: map[platform.WorkerID]bool{}, listed: map[platform.WorkerID]bool{},
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -226,6 +226,7 @@
 	for ref, start := range w.unansweredStarts {
 		if now < start.expiresAt {
 			// A stop order in flight may be meant for the previous run.
+			start.beginRun()
 			start.stopDue, start.stopOrderedAt = true, now
 			s.issueStop(w, ref, start.number)
 		}
