Scheduler: records tell the next owner of starts without an answer

Two runs of a task, as before, with an owner that is killed: nothing told the next owner of the start, so it waited 5.2 s for the leases of the run that the log names.

The record of a worker names its open starts, each with how long it has to be regarded. It is written as soon as a start has had no answer for 150 ms, and again once none is open. The next owner keeps the tasks bound as the owner before did; a run that answers under its token refuses the order. Hosts of an earlier build do not read the field and write none.

--- a/internal/process/dispatch/orders.go
+++ b/internal/process/dispatch/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/siskinvane/siskinvane/internal/platform/fleet"
@@ -71,7 +72,11 @@
 	d.timer("starts.queued").Update(sent - o.addedAt)
 	answer, err := fleet.Answer{}, scheduler.ErrWithheld
 	if mayAct {
+		overdue := time.AfterFunc(scheduler.StartOverdueAfter, func() {
+			d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) { s.StartOverdue(now, a) })
+		})
 		answer, err = d.Workers.Start(d.ctx, a.Worker, a.Order)
+		overdue.Stop()
 	}
 	if answer.Verdict == fleet.RefusedFenced {
 		d.Relinquish(ErrFenced)
--- a/internal/scheduler/job/record.go
+++ b/internal/scheduler/job/record.go
@@ -169,10 +169,21 @@
 	// extend leases in its present run beyond what the owner requests. Earlier versions do not set
 	// it.
 	StrayLeases time.Duration `cbor:"10,keyasint,omitempty"`
+	// OpenStarts are the start orders without an answer that the worker may still carry out, or may have
+	// carried out unseen. Earlier versions neither set nor read it.
+	OpenStarts []OpenStart `cbor:"11,keyasint,omitempty"`
 	// SeenAt is when this host read the record, by its own clock.
 	SeenAt time.Duration `cbor:"-"`
 }
 
+// OpenStart is a start order without an answer.
+type OpenStart struct {
+	Task    TaskRef          `cbor:"1,keyasint"`
+	Attempt platform.Attempt `cbor:"2,keyasint"`
+	// Left is for how long after its record the attempt may run at most, unless the worker is heard.
+	Left time.Duration `cbor:"3,keyasint"`
+}
+
 // Record keys. The first three are prefixes of a job ID.
 const (
 	submissionKey    = "j"
--- a/internal/scheduler/journal.go
+++ b/internal/scheduler/journal.go
@@ -152,7 +152,7 @@
 	for _, w := range s.journal.enrolled {
 		e := job.Enrollment{
 			Worker: w.info.ID, Addr: w.info.Addr.String(), Service: w.info.Service, Capacity: w.info.Capacity,
-			Claim: s.claim, Run: w.run, Lost: w.takeLost(), StrayLeases: s.strayLeft(s.now, w),
+			Claim: s.claim, Run: w.run, Lost: w.takeLost(), StrayLeases: s.strayLeft(s.now, w), OpenStarts: s.openStarts(s.now, w),
 		}
 		if refs := s.mayRun(w); w.silentFor(s.now) >= closeDelay && len(refs) <= maxMayRun && s.attemptsKnown(s.now, w) {
 			if !w.closed {
@@ -185,7 +185,7 @@
 		if w, ok := s.workers[e.Worker]; ok && !s.journal.unenrolled[e.Worker] {
 			s.dirty.add(w)
 			w.enrolled, w.recordedRun, w.closed = w.info.Addr.String() == e.Addr, e.Run, e.Closed
-			w.stray.recorded = e.StrayLeases > 0
+			w.stray.recorded, w.openStartsRecorded = e.StrayLeases > 0, len(e.OpenStarts) > 0
 			if e.Run == w.run {
 				w.enrolling = false
 			}
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -278,6 +278,7 @@
 		}
 		s.dismissSilent(now, w)
 		s.forgetStrayLeases(now, w)
+		s.forgetOpenStarts(now, w)
 		if !w.unresponsive() || w.clock.readAt == 0 || s.confirmedTime(now) < s.leasesExpireAt(w)+leaseExpiryMargin {
 			continue
 		}
--- a/internal/scheduler/openstart.go
+++ b/internal/scheduler/openstart.go
@@ -1,7 +1,10 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
+	"strings"
+	"time"
 
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
@@ -12,6 +15,9 @@
 // Until the order is over its task starts on no other worker. On the same worker it may: a run that carries
 // the order out has replaced the one in which the task ran.
 
+// StartOverdueAfter is how long a start order may be without an answer until the log tells of it.
+const StartOverdueAfter = 150 * time.Millisecond
+
 // unansweredStart are the start orders of an attempt that got no answer. An accepted stop order does not end
 // them, since the next run of the worker would not know of that order.
 type unansweredStart struct {
@@ -27,6 +33,9 @@
 	stopDue                  bool
 	stopOrderedAt, stoppedAt Instant
 	ended                    bool
+	// inherited is set if an earlier owner has sent the orders: a run that has accepted this owner's token
+	// refuses them.
+	inherited bool
 }
 
 // addUnansweredStart records that the last start order of an attempt may still be carried out.
@@ -35,8 +44,9 @@
 	start := w.unansweredStarts[a.ref]
 	if start == nil {
 		start = &unansweredStart{}
-		w.unansweredStarts[a.ref] = start
+		s.trackUnansweredStart(w, a.ref, start)
 	}
+	start.inherited = false
 	// To stop the attempt stops the earlier ones as well.
 	start.number, start.run = a.number, a.run
 	start.beginRun()
@@ -45,8 +55,69 @@
 	}
 	start.expiresAt = a.startSentAt + maxOrderDelay
 	a.startExpiresAt = start.expiresAt
-	if !slices.Contains(s.startsOpenOn[a.ref], w) {
-		s.startsOpenOn[a.ref] = append(s.startsOpenOn[a.ref], w)
+}
+
+func (s *Shard) trackUnansweredStart(w *workerState, ref job.TaskRef, start *unansweredStart) {
+	w.unansweredStarts[ref] = start
+	s.startsOpenOn[ref] = append(s.startsOpenOn[ref], w)
+}
+
+// inheritUnansweredStarts takes over what an earlier owner recorded of start orders without an answer.
+func (s *Shard) inheritUnansweredStarts(w *workerState, e job.Enrollment) {
+	for _, o := range e.OpenStarts {
+		if w.unansweredStarts[o.Task] != nil {
+			continue
+		}
+		expiresAt := e.SeenAt + slowestClock(min(o.Left, s.maxStrayLease())) - s.longestLease()
+		s.trackUnansweredStart(w, o.Task, &unansweredStart{
+			number: o.Attempt, run: e.Run, sentAt: []Instant{expiresAt - maxOrderDelay}, expiresAt: expiresAt, inherited: true,
+		})
+	}
+}
+
+// maxOpenStarts bounds the start orders without an answer that the record of a worker names.
+const maxOpenStarts = 500
+
+// openStarts returns the start orders that keep their tasks from other workers, for later owners. The last ones
+// come first, since they hold longest.
+func (s *Shard) openStarts(now Instant, w *workerState) []job.OpenStart {
+	var list []job.OpenStart
+	for ref, start := range w.unansweredStarts {
+		if s.binds(now, w, start) {
+			list = append(list, job.OpenStart{Task: ref, Attempt: start.number, Left: start.expiresAt + s.longestLease() - now})
+		}
+	}
+	slices.SortFunc(list, func(a, b job.OpenStart) int {
+		return cmp.Or(cmp.Compare(b.Left, a.Left), strings.Compare(a.Task.String(), b.Task.String()))
+	})
+	return list[:min(len(list), maxOpenStarts)]
+}
+
+// recordOpenStart tells later owners of the worker's start orders without an answer.
+func (s *Shard) recordOpenStart(w *workerState) {
+	if w.enrolled {
+		s.journal.enroll(w)
+	}
+}
+
+// StartOverdue records that a start order has had no answer for StartOverdueAfter. If this owner ends now, the next
+// one must know of it.
+func (s *Shard) StartOverdue(now Instant, action StartAction) {
+	a := s.findAttempt(action.Worker, action.Order)
+	if a == nil || a.phase != starting || a.startSentAt != action.sent {
+		return
+	}
+	s.now = max(s.now, now)
+	s.addUnansweredStart(a)
+	s.recordOpenStart(a.worker)
+}
+
+// forgetOpenStarts records, once no start order keeps a task from other workers, that later owners need not
+// regard any.
+func (s *Shard) forgetOpenStarts(now Instant, w *workerState) {
+	if w.openStartsRecorded && w.enrolled && !w.unresponsive() && len(s.openStarts(now, w)) == 0 {
+		w.openStartsRecorded = false
+		s.journal.enroll(w)
 	}
 }
 
@@ -56,7 +127,7 @@
 // refused reports whether the present run of the worker refuses the orders and runs nothing that they have
 // started.
 func (u *unansweredStart) refused(w *workerState) bool {
-	return u.ended || u.stoppedAt != 0 && w.listsRequested > u.stoppedAt
+	return u.ended || u.inherited && w.run != 0 && w.listsRead() || u.stoppedAt != 0 && w.listsRequested > u.stoppedAt
 }
 
 // settleStart records that a start order of a task, sent at the time sent, will not be carried out any more.
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -166,6 +166,7 @@
 func (s *Shard) handleUnansweredStart(now Instant, a *attempt) {
 	a.startUncertain = true
 	s.addUnansweredStart(a)
+	s.recordOpenStart(a.worker)
 	if a.phase != starting {
 		return
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -107,6 +107,8 @@
 	// out. A new run of the worker would accept them, since it has forgotten the later
 	// orders that made the old run refuse them.
 	unansweredStarts map[job.TaskRef]*unansweredStart
+	// openStartsRecorded is set while the log names some of them.
+	openStartsRecorded bool
 	// unansweredStops are the attempts whose stop order was not accepted, and some that have
 	// ended since.
 	unansweredStops []*attempt
@@ -177,6 +179,9 @@
 
 // forgetWorker removes a worker on which nothing can be running.
 func (s *Shard) forgetWorker(w *workerState) {
+	for ref := range w.unansweredStarts {
+		s.forgetUnansweredStart(w, ref)
+	}
 	delete(s.workers, w.info.ID)
 	s.removeSortedWorker(w)
 	s.journal.unenroll(w.info.ID)
@@ -204,6 +209,7 @@
 		maps.Copy(w.onlyMayRun, e.MayRun)
 	}
 	s.inheritLostRun(e)
+	s.inheritUnansweredStarts(w, e)
 	return nil
 }
 
