Scheduler: a start goes only to a run that has answered a moment ago

Starts went to workers whose last answer was up to 1.7 s old, while a renewal waited there: to workers that were down, each for 0.4 s and twice, and to next runs that the owner had not seen, which hold the longest lease then.

If the last answer of the worker's run is over 0.1 s old, a renew order goes first that grants no lease and acknowledges nothing, and the start follows its answer. It names the run, so a restart is noticed before the first start and not after it. A worker that does not answer gets no start until it has read its lists, and the task goes elsewhere at once: no order of it is open. Starts to one worker share the call; answered starts count as signs of the run, and on a full link or with long lists the sign may be older.

The simulation of changes of owners follows the dispatcher.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -96,6 +96,9 @@
 	// renewing holds the workers for which a renewLoop runs, each with the channel that ends
 	// the loop's pause after an unanswered renewal.
 	renewing map[platform.WorkerID]chan struct{}
+	// contacts are the calls under way that ask a worker for its run, each with the channel that is closed at
+	// its end.
+	contacts map[platform.WorkerID]chan struct{}
 	// pendingWrites are the records that callers wait for and no append contains yet.
 	pendingWrites []*pendingWrite
 	// err is why the shard was given up.
@@ -120,7 +123,7 @@
 		planRequested: make(chan struct{}, 1), recordRequested: make(chan struct{}, 1),
 		stopRequested: make(chan struct{}), finalRecordDone: make(chan struct{}),
 		shard:         scheduler.New(c.Bounds, c.Ownership, c.Clock(), c.Predecessors),
-		waitingGauges: map[int]metrics.Gauge{}, renewing: map[platform.WorkerID]chan struct{}{}, recorded: make(chan struct{}),
+		waitingGauges: map[int]metrics.Gauge{}, renewing: map[platform.WorkerID]chan struct{}{}, contacts: map[platform.WorkerID]chan struct{}{}, recorded: make(chan struct{}),
 	}
 	d.orders = &workerLanes{goroutines: &d.goroutines, lanes: map[platform.WorkerID]*lane{}}
 	d.throttles = &lane{goroutines: &d.goroutines, limit: maxConcurrentThrottles}
--- a/internal/process/dispatch/orders.go
+++ b/internal/process/dispatch/orders.go
@@ -58,6 +58,7 @@
 }
 
 func (d *Dispatcher) sendStart(a scheduler.StartAction, o *windowOrder) {
+	d.contactWorker(a.Worker.ID)
 	sent, current, wanted := d.beginStart(a, o)
 	if !wanted {
 		d.counter("starts.withdrawn").Inc(1)
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -138,6 +138,10 @@
 	w.listsReadAt, w.listsClock = min(now, readAt), clock
 	w.listsReceived, w.listsRequested, w.listsRun = now, sent, w.run
 	w.renewalDue = 0
+	w.contactedAt = max(w.contactedAt, w.listsReadAt)
+	if w.listsReadAt > w.doubtedAt {
+		w.doubtedAt = 0
+	}
 }
 
 // RenewsAtOnce reports whether the next renew order to a worker has no wait: the worker
@@ -150,7 +154,7 @@
 // mayHaveRestarted reports whether a worker may have restarted since it read its latest
 // lists.
 func (w *workerState) mayHaveRestarted(now Instant) bool {
-	return w.unresponsive() || now > w.listsReadAt+listsValidity
+	return w.unresponsive() || w.doubtedAt != 0 || now > w.listsReadAt+listsValidity
 }
 
 // runCertain reports whether a worker is probably in the run that its latest lists are of, so
@@ -158,7 +162,7 @@
 // sent to this run, a restart has usually broken the connection. What a later run gets all the same
 // is accounted for once the restart is known.
 func (w *workerState) runCertain(now Instant) bool {
-	return !w.unresponsive() && (now <= w.renewalDue || !w.mayHaveRestarted(now))
+	return !w.unresponsive() && w.doubtedAt == 0 && (now <= w.renewalDue || !w.mayHaveRestarted(now))
 }
 
 // listsRead reports whether the lists of the worker's present run were read. The clock of a
--- a/internal/scheduler/openstart.go
+++ b/internal/scheduler/openstart.go
@@ -145,6 +145,9 @@
 // startSeen records that an attempt runs on its worker or has ended there. If its order was sent only once, it
 // was carried out.
 func (s *Shard) startSeen(a *attempt, ended bool) {
+	if len(a.worker.unansweredStarts) == 0 {
+		return
+	}
 	if a.startOrders == 1 {
 		s.settleStart(a.worker, a.ref, a.startSentAt)
 	}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -165,6 +165,7 @@
 // attempt so that a late execution is refused.
 func (s *Shard) handleUnansweredStart(now Instant, a *attempt) {
 	a.startUncertain = true
+	a.worker.contactedAt = 0
 	s.addUnansweredStart(a)
 	s.recordOpenStart(a.worker)
 	if a.phase != starting {
--- a/internal/scheduler/owners_test.go
+++ b/internal/scheduler/owners_test.go
@@ -703,7 +703,31 @@
 	}
 }
 
+// sendStart follows the function of package dispatch.
 func (o *simOwner) sendStart(a scheduler.StartAction) {
+	if !o.shard.ContactDue(o.host.clock(), a.Worker.ID, scheduler.MaxContactAge) {
+		o.beginStart(a)
+		return
+	}
+	h, sent := o.host, o.host.clock()
+	_, order := o.shard.ContactOrder(a.Worker.ID)
+	o.call(a.Worker.ID, 0, func(reply func(answered bool, handle func())) {
+		lists, answered := h.sim.cluster.Renew(h.sim.now, a.Worker.ID, order)
+		reply(answered, func() {
+			if lists.Verdict == fleet.RefusedFenced {
+				o.relinquish("a worker has a later owner")
+				return
+			}
+			o.shard.ContactAnswered(h.clock(), sent, a.Worker.ID, lists)
+			o.beginStart(a)
+		})
+	}, func(error) {
+		o.shard.ContactFailed(sent, a.Worker.ID)
+		o.beginStart(a)
+	})
+}
+
+func (o *simOwner) beginStart(a scheduler.StartAction) {
 	h := o.host
 	o.shard.OwnershipConfirmed(h.clock() - h.confirmationAge())
 	current, wanted := o.shard.BeginStart(h.clock(), a)
@@ -718,6 +742,10 @@
 			o.changed()
 			return
 		}
+		o.after(scheduler.StartOverdueAfter, func() {
+			o.shard.StartOverdue(h.clock(), current)
+			o.changed()
+		})
 		o.call(current.Worker.ID, 0, func(reply func(answered bool, handle func())) {
 			answer, answered := h.sim.cluster.Start(h.sim.now, current.Worker.ID, current.Order)
 			h.sim.tracef("claim %d starts %v.%d on %s: %v %v", o.own.Claim, current.Order.Task, current.Order.Attempt, current.Worker.ID, answer.Verdict, answered)
--- a/internal/scheduler/stray.go
+++ b/internal/scheduler/stray.go
@@ -98,6 +98,7 @@
 		})
 	case answer.Verdict == fleet.Accepted:
 		w.leasedAt = max(w.leasedAt, action.sent)
+		w.contacted(now, action.sent)
 	}
 }
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -65,7 +65,10 @@
 	// unresponsiveSince is when the first unanswered renew order since the last answer
 	// was sent, or zero.
 	unresponsiveSince Instant
-	clock             workerClock
+	// contactedAt is when the present run last answered, and doubtedAt when the order was sent that it should have
+	// answered since it last read its lists, or zero.
+	contactedAt, doubtedAt Instant
+	clock                  workerClock
 	// renewOrderedAt is when the last renew order was prepared, and renewOrderedRun for which run.
 	renewOrderedAt  Instant
 	renewOrderedRun int64
@@ -277,7 +280,7 @@
 // setRun sets the worker's current run.
 func (w *workerState) setRun(now Instant, run int64) {
 	w.run, w.runBefore, w.runSeenAt = run, w.run, now
-	w.renewalDue = 0
+	w.renewalDue, w.contactedAt, w.doubtedAt = 0, 0, 0
 }
 
 // isEarlierRun reports whether the answer to an order sent at the time sent is that of a run
