Scheduler: a new run is used only once the log names it

Two runs of a task: an owner gave a worker's new run a lease and a task while the store was away or the record was under way, and ended. The log and the entry named the run before, so the next owner waited too shortly.

The log names each worker before leases are extended on it, so that a later owner knows where to wait; since a worker may restart under its id, that holds for each run. A new run gets leases and starts once its record is written, usually one append after its first lists. While the store is away, workers that restart meanwhile stay idle, as new workers always have.

--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -87,8 +87,9 @@
 	return w.info, o, true
 }
 
-// leasable reports whether this owner may extend the worker's leases.
-func (w *workerState) leasable() bool { return w.enrolled && !w.closed }
+// leasable reports whether this owner may extend leases in the worker's present run: the log names that run, so that
+// a later owner knows of the restart.
+func (w *workerState) leasable() bool { return w.enrolled && w.recordedRun == w.run && !w.closed }
 
 // Leased reports whether this owner has extended the leases of a worker's present run and may go on.
 func (s *Shard) Leased(id platform.WorkerID) bool {
@@ -174,7 +175,7 @@
 	switch {
 	case !w.listsRead() || w.absenceDue() || w.listsLag() > maxListsLag:
 		return 0
-	case !w.enrolled || w.closed:
+	case !w.leasable():
 		return enrollRenewWait
 	case w.absenceAwaited():
 		return absenceRenewWait
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -44,7 +44,7 @@
 		// would outlive the lease that this and later owners wait for.
 		s.handleRefusedStart(now, a)
 		return StartAction{}, false
-	case a.worker.closed || a.worker.evacuated || s.grantableLease(now) <= 0:
+	case !a.worker.leasable() || a.worker.evacuated || s.grantableLease(now) <= 0:
 		s.handleRefusedStart(now, a)
 		return StartAction{}, false
 	case a.worker.entryOutdated() || a.worker.overcommitted() || !s.startsAllowed(now):
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -339,11 +339,16 @@
 	h.plan()
 	must.True(t, h.shard.RenewsAtOnce(h.now, "w00"))
 	_, order, _ := h.shard.RenewOrder(h.now, "w00")
-	must.Positive(t, order.LeaseEnd)
+	must.Zero(t, order.LeaseEnd)
 	must.Zero(t, order.Wait)
 	h.now += time.Millisecond
 	h.renewLeases("w00")
 	must.False(t, h.shard.RenewsAtOnce(h.now, "w00"))
+	h.record()
+	_, order, _ = h.shard.RenewOrder(h.now, "w00")
+	must.Positive(t, order.LeaseEnd)
+	h.now += time.Millisecond
+	h.renewLeases("w00")
 	_, order, _ = h.shard.RenewOrder(h.now, "w00")
 	must.Positive(t, order.Wait)
 }
@@ -386,6 +391,7 @@
 	h.now += time.Second
 	h.syncWorkers()
 	h.renewLeases("w00")
+	h.record()
 	h.loseStops()
 	must.False(t, h.shard.RenewsAtOnce(h.now, "w00"))
 	order := h.awaitOrder("w00")
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -297,7 +297,7 @@
 // schedulable reports whether a worker may get new tasks at all. While it runs orphans
 // its free resources are not known.
 func (w *workerState) schedulable() bool {
-	return w.registered && !w.gone && !w.entryOutdated() && w.enrolled && !w.closed && w.reconciled && w.orphans == 0 && w.clock.known && !w.unresponsive() &&
+	return w.registered && !w.gone && !w.entryOutdated() && w.leasable() && w.reconciled && w.orphans == 0 && w.clock.known && !w.unresponsive() &&
 		!w.info.Draining && !w.cordoned && !w.evacuated
 }
 
