--- a/internal/scheduler/openstart_test.go
+++ b/internal/scheduler/openstart_test.go
@@ -5,9 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/shoenig/test/must"
 	"github.com/siskinvane/siskinvane/internal/platform"
 	"github.com/siskinvane/siskinvane/internal/platform/fleet"
+	"github.com/siskinvane/siskinvane/internal/platform/store"
 	"github.com/siskinvane/siskinvane/internal/scheduler/job"
 )
 
@@ -130,16 +132,48 @@
 	}
 }
 
-// TestRecordOfEarlierVersionHasNoOpenStarts: the field is new, and both versions have to read each other's records.
-func TestRecordOfEarlierVersionHasNoOpenStarts(t *testing.T) {
+// TestOwnersOfTwoVersionsReadEachOthersOpenStarts: a record with open starts is unreadable for the version before, or one
+// without them for this one.
+func TestOwnersOfTwoVersionsReadEachOthersOpenStarts(t *testing.T) {
+	type earlierEnrollment struct {
+		Worker      platform.WorkerID    `cbor:"1,keyasint"`
+		Addr        string               `cbor:"2,keyasint"`
+		Service     platform.ServiceName `cbor:"3,keyasint"`
+		Capacity    platform.Resources   `cbor:"4,keyasint"`
+		Claim       uint32               `cbor:"5,keyasint"`
+		Run         int64                `cbor:"6,keyasint"`
+		Lost        []job.LostAttempt    `cbor:"7,keyasint,omitempty"`
+		Closed      bool                 `cbor:"8,keyasint,omitempty"`
+		MayRun      job.TaskSet          `cbor:"9,keyasint,omitempty"`
+		StrayLeases time.Duration        `cbor:"10,keyasint,omitempty"`
+	}
 	h := newHarness(t, 1)
 	h.run(time.Second)
 	h.submit(firstID, fixedLength(100), nil, batchStep(1))
 	start := h.beginOnlyStart()
 	h.shard.StartAnswered(h.now, start, fleet.Answer{}, platform.ErrOutcomeUnknown)
 	h.record()
-	e := h.enrolled["w00"]
-	must.Len(t, 1, e.OpenStarts)
-	must.Eq(t, job.OpenStart{Task: start.Order.Task, Attempt: start.Order.Attempt, Left: e.OpenStarts[0].Left}, e.OpenStarts[0])
-	must.Between(t, 23*time.Second, e.OpenStarts[0].Left, 24*time.Second)
+	written := h.enrolled["w00"]
+	must.Len(t, 1, written.OpenStarts)
+	must.Eq(t, start.Order.Task, written.OpenStarts[0].Task)
+	must.Between(t, 23*time.Second, written.OpenStarts[0].Left, 24*time.Second)
+
+	record, err := job.EnrollmentRecord(written)
+	must.NoError(t, err)
+	var earlier earlierEnrollment
+	must.NoError(t, cbor.Unmarshal(record.Value, &earlier))
+	must.Eq(t, written.Run, earlier.Run)
+	must.Eq(t, written.StrayLeases, earlier.StrayLeases)
+
+	record.Value, err = cbor.Marshal(earlier)
+	must.NoError(t, err)
+	table := job.NewTable()
+	_, err = table.Apply(store.Page{Records: []store.StoredRecord{{Record: record}}}, h.now)
+	must.NoError(t, err)
+	must.Len(t, 1, table.Workers())
+	must.SliceEmpty(t, table.Workers()[0].OpenStarts)
+	h.enrolled["w00"] = table.Workers()[0]
+	h.takeOver(true)
+	must.Less(t, 7*time.Second, h.runUntilStart(30*time.Second))
+	h.checkViolations()
 }
