Scheduler: a start that an unknown run has answered is recorded, and stops acknowledgements

The owner knew of the longest lease, but wrote that only with the worker's next record; it was killed, and the next owner waited 5.2 s. And the next renewal still acknowledged the ends of the run before: the new run forgot one of its own that nobody had read, and the task ran again.

The worker's record is written at once, and until its lists are read the worker gets neither a lease nor an acknowledgement, as after a silence.

--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -64,7 +64,7 @@
 	}
 	o := fleet.RenewOrder{Token: s.epoch}
 	w.renewOrderedAt, w.renewOrderedRun = now, w.run
-	sameRun := !w.mayHaveRestarted(now)
+	sameRun := !w.runDoubtful(now)
 	if sameRun {
 		// A new run numbers its ends anew.
 		o.Acknowledged = w.ended.acknowledgeable(s.journal.lastRecorded)
@@ -112,7 +112,7 @@
 	if !ok || o.LeaseEnd == 0 && o.Acknowledged == 0 {
 		return ok
 	}
-	if w.run != w.renewOrderedRun || w.mayHaveRestarted(now) {
+	if w.run != w.renewOrderedRun || w.runDoubtful(now) {
 		s.RenewalWithheld(id)
 		return false
 	}
@@ -149,7 +149,7 @@
 // then returns its lists immediately.
 func (s *Shard) RenewsAtOnce(now Instant, id platform.WorkerID) bool {
 	w, ok := s.workers[id]
-	return ok && (!w.clock.known || w.mayHaveRestarted(now) || s.renewWait(w) == 0)
+	return ok && (!w.clock.known || w.runDoubtful(now) || s.renewWait(w) == 0)
 }
 
 // mayHaveRestarted reports whether a worker may have restarted since it read its latest
@@ -158,6 +158,12 @@
 	return w.unresponsive() || w.doubtedAt != 0 || now > w.listsReadAt+listsValidity
 }
 
+// runDoubtful reports whether the worker may be in a later run than that of its latest lists, so that it gets neither
+// a lease nor an acknowledgement.
+func (w *workerState) runDoubtful(now Instant) bool {
+	return w.mayHaveRestarted(now) || w.stray.unprovenAt != 0
+}
+
 // runCertain reports whether a worker is probably in the run that its latest lists are of, so
 // that a lease end may be given on its clock. While the answer to a renewal is awaited that was
 // sent to this run, a restart has usually broken the connection. What a later run gets all the same
--- a/internal/scheduler/openstart.go
+++ b/internal/scheduler/openstart.go
@@ -93,8 +93,8 @@
 	return list[:min(len(list), maxOpenStarts)]
 }
 
-// recordOpenStart tells later owners of the worker's start orders without an answer.
-func (s *Shard) recordOpenStart(w *workerState) {
+// recordRun records again what later owners have to know of a worker's run.
+func (s *Shard) recordRun(w *workerState) {
 	if w.enrolled {
 		s.journal.enroll(w)
 	}
@@ -109,7 +109,7 @@
 	}
 	s.now = max(s.now, now)
 	s.addUnansweredStart(a)
-	s.recordOpenStart(a.worker)
+	s.recordRun(a.worker)
 }
 
 // forgetOpenStarts records, once no start order keeps a task from other workers, that later owners need not
--- a/internal/scheduler/openstart_test.go
+++ b/internal/scheduler/openstart_test.go
@@ -177,3 +177,22 @@
 	must.Less(t, 7*time.Second, h.runUntilStart(30*time.Second))
 	h.checkViolations()
 }
+
+// TestNextOwnerDoesNotKnowOfAnswerOfUnseenRun: a run that its owner never saw had answered a start order, and the owner ended
+// before the worker's record was written for another reason.
+func TestNextOwnerDoesNotKnowOfAnswerOfUnseenRun(t *testing.T) {
+	h := newStrayHarness(t)
+	id := h.submit(firstID, fixedLength(100), nil, batchStep(1))
+	start := h.beginOnlyStart()
+	w := start.Worker.ID
+	h.unregistered[w] = true
+	h.restartOne(w)
+	answer, _ := h.cluster.Start(h.now, w, start.Order)
+	must.Eq(t, fleet.Accepted, answer.Verdict)
+	h.shard.StartAnswered(h.now, start, answer, nil)
+	h.record()
+	h.cluster.SetPartitioned(w, true)
+	h.replaceKilledOwner()
+	must.Eq(t, 1, h.cluster.Running(id))
+	h.finish(h.cluster.Starts())
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -167,7 +167,7 @@
 	a.startUncertain = true
 	a.worker.contactedAt = 0
 	s.addUnansweredStart(a)
-	s.recordOpenStart(a.worker)
+	s.recordRun(a.worker)
 	if a.phase != starting {
 		return
 	}
--- a/internal/scheduler/stray.go
+++ b/internal/scheduler/stray.go
@@ -96,6 +96,8 @@
 			Task: action.Order.Task, Attempt: action.Order.Attempt, Worker: w.info.ID, Verdict: answer.Verdict,
 			Clock: time.Duration(answer.Clock), ListsAge: now - w.listsReadAt,
 		})
+		s.recordRun(w)
+		w.contactedAt = 0
 	case answer.Verdict == fleet.Accepted:
 		w.leasedAt = max(w.leasedAt, action.sent)
 		w.contacted(now, action.sent)
