Scheduler: the last record of an owner names the starts under way

Two runs of a task after an owner stopped in order: its last record did not name a start that had no answer yet, so the next owner waited for the leases that the log told of.

Before its last record an owner counts its starts under way as without an answer. TestStartUnderWayAtOrderlyEndIsNotRecorded (latestart_test.go) failed before.

--- a/internal/process/dispatch/record.go
+++ b/internal/process/dispatch/record.go
@@ -100,6 +100,7 @@
 		case <-d.ctx.Done():
 			return
 		case <-d.stopRequested:
+			d.updateShard(func(s *scheduler.Shard, now scheduler.Instant) { s.Stopping(now) })
 			d.recordProgress(w)
 			d.Ownership.Released = true
 			d.recordOwnership(w)
--- a/internal/scheduler/openstart.go
+++ b/internal/scheduler/openstart.go
@@ -104,12 +104,31 @@
 // one must know of it.
 func (s *Shard) StartOverdue(now Instant, action StartAction) {
 	a := s.findAttempt(action.Worker, action.Order)
-	if a == nil || a.phase != starting || a.startSentAt != action.sent {
+	if a == nil || a.startSentAt != action.sent {
 		return
 	}
 	s.now = max(s.now, now)
-	s.addUnansweredStart(a)
-	s.recordRun(a.worker)
+	if a.phase == starting {
+		s.addUnansweredStart(a)
+	}
+	if a.worker.unansweredStarts[a.ref] != nil {
+		s.recordRun(a.worker)
+	}
+}
+
+// Stopping records the start orders under way, since this owner will not see their answers.
+func (s *Shard) Stopping(now Instant) {
+	s.now = max(s.now, now)
+	for _, w := range s.workers {
+		for _, a := range w.attempts {
+			if a.phase == starting && a.startSent {
+				s.addUnansweredStart(a)
+			}
+		}
+		if len(w.unansweredStarts) > 0 {
+			s.recordRun(w)
+		}
+	}
 }
 
 // forgetOpenStarts records, once no start order keeps a task from other workers, that later owners need not
