Scheduler: a start follows its worker's answer also over slow links and after suspensions

The sign of a run that precedes a start had 0.4 s, though it brings lists, for which renewals have 0.7 s: over a link with answers of 0.45 s nothing started at all. And an answer that had waited for a suspended host did not count, but the start was sent all the same.

The wait is that of renewals, and StartCurrent looks at the age of the last answer as the last check before the order. An owner that may not act asks no worker.

--- a/internal/process/dispatch/contact.go
+++ b/internal/process/dispatch/contact.go
@@ -32,7 +32,13 @@
 	d.contacts[id] = done
 	worker, order := d.shard.ContactOrder(id)
 	d.mu.Unlock()
-
+	if !d.MayAct() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.contacts, id)
+		close(done)
+		return
+	}
 	ctx, cancel := context.WithTimeout(d.ctx, scheduler.ContactTimeout)
 	defer cancel()
 	reply, err := d.Workers.Renew(ctx, worker, order)
--- a/internal/process/dispatch/contact_test.go
+++ b/internal/process/dispatch/contact_test.go
@@ -36,3 +36,17 @@
 		must.Eq(t, 150, l.accepted)
 	})
 }
+
+// TestNothingStartsOverSlowLink: answers that took longer than an order may wait counted as none, so that each start was
+// given up before it was sent.
+func TestNothingStartsOverSlowLink(t *testing.T) {
+	l := newLinkedWorkers(0)
+	l.renewAnswer = 450 * time.Millisecond
+	withLinkedWorkers(t, l, 2, func(d *Dispatcher) {
+		d.AddJobs([]job.Entry{entry(firstJob, 2)})
+		time.Sleep(3 * time.Second)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		must.Eq(t, 2, l.accepted)
+	})
+}
--- a/internal/scheduler/contact.go
+++ b/internal/scheduler/contact.go
@@ -13,10 +13,12 @@
 // the orders that were under way at a restart, see unansweredStart.
 
 const (
-	// MaxContactAge is how old the last answer of a worker's run may be for a start order to be sent to it.
+	// MaxContactAge is how old the last answer of a worker's run may be for a start order to be sent to it, while
+	// link and processor have room for calls.
 	MaxContactAge = 100 * time.Millisecond
-	// ContactTimeout bounds the wait for an answer that is to tell that a run is up.
-	ContactTimeout = 400 * time.Millisecond
+	// ContactTimeout bounds the wait for an answer that is to tell that a run is up, as that for lists. It is also the
+	// age at which the last answer tells nothing any more.
+	ContactTimeout = 700 * time.Millisecond
 )
 
 // ContactDue reports whether a worker has to be asked for its run before a start order is sent to it, if the last
@@ -63,6 +65,10 @@
 // until it has read its lists after that.
 func (s *Shard) ContactFailed(sent Instant, id platform.WorkerID) {
 	if w, ok := s.workers[id]; ok && sent > w.listsReadAt && sent >= w.runSeenAt {
-		w.contactedAt, w.doubtedAt = 0, sent
+		w.doubt(sent)
 	}
 }
+
+// doubt records that the worker may have restarted before the time at. It gets no order that would do harm in
+// another run until it has read its lists after that.
+func (w *workerState) doubt(at Instant) { w.contactedAt, w.doubtedAt = 0, at }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -64,10 +64,10 @@
 }
 
 // StartCurrent reports whether a start order from BeginStart may still be sent: its worker
-// cannot have restarted since, and its failure domain is not evacuated.
+// has not restarted as far as is known and has answered not long ago, and its failure domain is not evacuated.
 func (s *Shard) StartCurrent(now Instant, action StartAction) bool {
 	w, ok := s.workers[action.Worker.ID]
-	return ok && w.run == action.Run && w.runCertain(now) && !w.evacuated
+	return ok && w.run == action.Run && w.runCertain(now) && now <= w.contactedAt+ContactTimeout && !w.evacuated
 }
 
 // ErrWithheld is the error of an order that was not sent because the owner may not act, or
