Scheduler: what a start without an answer may have begun is waited for to its end

And a wait without need: a refused start left an earlier one open, and nobody had the worker refuse that one again (TestRefusedStartLeavesEarlierOneOpen, 13 s).

The worker stays until its starts are over, each run has to refuse anew, and leases of open orders are waited for. A task is not bound to a worker that leaves as planned.

--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -43,8 +43,9 @@
 	confirmedAt Instant
 	// startOrders counts the start orders, startTries those of them that got no answer.
 	startOrders, startTries int
-	// startSentAt is when the last start order was sent.
+	// startSentAt is when the last start order was sent, and startRun the worker's run that it was meant for.
 	startSentAt Instant
+	startRun    int64
 	// startSent is set once a start order was sent.
 	startSent bool
 	// startUncertain is set once a start order got no answer: the worker may still
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -298,7 +298,7 @@
 		for _, a := range w.attempts {
 			s.loseAttempt(now, a, "lease over")
 		}
-		if !w.registered && s.strayOver(now, w) {
+		if !w.registered && s.strayOver(now, w) && len(w.unansweredStarts) == 0 {
 			s.forgetWorker(w)
 		}
 	}
--- a/internal/scheduler/openstart.go
+++ b/internal/scheduler/openstart.go
@@ -48,7 +48,7 @@
 	}
 	start.inherited = false
 	// To stop the attempt stops the earlier ones as well.
-	start.number, start.run = a.number, a.run
+	start.number, start.run = a.number, a.startRun
 	start.beginRun()
 	if !slices.Contains(start.sentAt, a.startSentAt) {
 		start.sentAt = append(start.sentAt, a.startSentAt)
@@ -187,26 +187,37 @@
 // left that the worker's lists do not tell.
 func (s *Shard) expireUnansweredStarts(now Instant, w *workerState) {
 	for ref, start := range w.unansweredStarts {
-		if s.startOver(now, w, start) {
+		if s.startExpired(now, w, start) {
 			s.forgetUnansweredStart(w, ref)
 		}
 	}
 }
 
-// startOver reports whether the orders cannot be carried out any more, and what they may have started is
+// startExpired reports whether the orders cannot be carried out any more, and what they may have started is
 // listed or has lost its lease.
-func (s *Shard) startOver(now Instant, w *workerState, start *unansweredStart) bool {
+func (s *Shard) startExpired(now Instant, w *workerState, start *unansweredStart) bool {
 	if now < start.expiresAt {
 		return false
 	}
-	return w.listsRead() && w.listsRequested > start.expiresAt || s.confirmedTime(now) >= start.expiresAt+s.longestLease()
+	if w.listsRead() && w.listsRequested > start.expiresAt {
+		return true
+	}
+	until := start.expiresAt + s.longestLease()
+	for _, o := range w.stray.open {
+		// An unseen run may carry out this one as well, and its lease is for all that runs there.
+		until = max(until, o.sent+s.maxStrayLease())
+	}
+	return s.confirmedTime(now) >= until
 }
 
 // binds reports whether a task may start on no other worker, since the present run or one that follows it may
-// carry the orders out. The run that they were meant for refuses them once the attempt was stopped there, and may
-// still be followed by another one.
+// carry the orders out. It does not once a later run than that of the orders refuses them: a task whose start may
+// have crashed its worker has to start on another one. A worker that leaves as planned has no later run.
 func (s *Shard) binds(now Instant, w *workerState, start *unansweredStart) bool {
-	return !s.startOver(now, w, start) && !(start.refused(w) && start.run != w.run)
+	if s.startExpired(now, w, start) {
+		return false
+	}
+	return !start.refused(w) || start.run == w.run && !w.info.Draining
 }
 
 // isBound reports whether a start order without an answer keeps a task from most workers. Copies of a speculative
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -56,7 +56,7 @@
 		a.run, a.unendedAt = a.worker.run, now
 	}
 	action.Worker, action.Run, action.Repeated = a.worker.info, a.worker.run, a.startSent
-	a.orderedAt, a.startSent, a.startSentAt = now, true, now
+	a.orderedAt, a.startSent, a.startSentAt, a.startRun = now, true, now, a.worker.run
 	a.startOrders++
 	action.Order.LeaseEnd, action.sent = s.grantLease(now, a.worker, s.grantableLease(now)), now
 	action.RunAge = now - a.worker.listsReadAt
@@ -197,6 +197,7 @@
 		s.stopAttempt(now, a, reasonUnanswered)
 		return
 	}
+	a.worker.stopLostStart(a.ref)
 	s.dropAttempt(now, a)
 }
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -233,9 +233,9 @@
 		a.absentAt, a.endUnread = 0, false
 	}
 	for ref, start := range w.unansweredStarts {
+		start.beginRun()
 		if now < start.expiresAt {
 			// A stop order in flight may be meant for the previous run.
-			start.beginRun()
 			start.stopDue, start.stopOrderedAt = true, now
 			s.issueStop(w, ref, start.number)
 		}
