--- a/internal/scheduler/owners_test.go
+++ b/internal/scheduler/owners_test.go
@@ -73,6 +73,9 @@
 	firstSteps map[job.ID]int
 	// lateShare is the share of orders that are held up, lossShare the share of lost messages.
 	lateShare, lossShare float64
+	// maxEntryDelay is how long the entry of a worker may name the run before, or be away, once its next
+	// run has begun, maxAnswerDelay how long a worker may take to send an answer.
+	maxEntryDelay, maxAnswerDelay time.Duration
 	// trappedUntil is until when no other owner is trapped, see mayBeTrapped.
 	trappedUntil time.Duration
 	// startedAt is when each task was first started.
@@ -112,6 +115,8 @@
 	registeredUntil, silentUntil time.Duration
 	// cutUntil is until when no host reaches the worker.
 	cutUntil time.Duration
+	// earlierEntry is the entry of an earlier run while the present one has sent no heartbeat, or nil.
+	earlierEntry *fleet.Worker
 	// lost is set once the worker is gone for good.
 	lost bool
 }
@@ -298,7 +303,7 @@
 func (s *ownersSim) sendHeartbeats() {
 	for _, w := range s.workers {
 		if w.up && s.now >= w.silentUntil {
-			w.registeredUntil = s.now + entryLifetime
+			w.registeredUntil, w.earlierEntry = s.now+entryLifetime, nil
 		}
 	}
 }
@@ -324,16 +329,32 @@
 		return
 	}
 	s.after(downFor, func() {
+		if s.maxEntryDelay > 0 {
+			s.delayEntry(w)
+		}
 		w.up = true
 		s.cluster.Boot(s.now, w.info.ID)
 	})
 }
 
+// delayEntry makes the entry of the worker's next run late.
+func (s *ownersSim) delayEntry(w *simWorker) {
+	if w.earlierEntry == nil {
+		entry := s.cluster.Entry(w.info.ID)
+		w.earlierEntry = &entry
+	}
+	w.silentUntil = max(w.silentUntil, s.now+s.between(0, s.maxEntryDelay))
+}
+
 // entries returns the workers' entries.
 func (s *ownersSim) entries() []fleet.Worker {
 	var list []fleet.Worker
 	for _, w := range s.workers {
-		if s.now < w.registeredUntil {
+		switch {
+		case s.now >= w.registeredUntil:
+		case w.earlierEntry != nil:
+			list = append(list, *w.earlierEntry)
+		default:
 			list = append(list, s.cluster.Entry(w.info.ID))
 		}
 	}
@@ -391,6 +412,12 @@
 		failed[ref]++
 		return true
 	})
+	s.accept(id, sub)
+	return id
+}
+
+// accept writes a job to the log.
+func (s *ownersSim) accept(id job.ID, sub *job.Submission) {
 	r, err := job.SubmissionRecord(id, sub)
 	must.NoError(s.t, err)
 	s.log.write(r)
@@ -400,7 +427,6 @@
 			h.after(s.delay(), func() { h.readLog(func(bool) {}) })
 		}
 	}
-	return id
 }
 
 // boot starts a process of the host, which knows nothing.
@@ -834,14 +860,33 @@
 			return
 		}
 		carryOut(func(answered bool, handle func()) {
-			if answered && !cut() && !s.chance(s.lossShare) {
-				s.after(s.delay(), func() { o.after(0, settle(handle)) })
+			if !answered {
+				return
 			}
+			s.sendAnswer(w, func() {
+				if !cut() && !s.chance(s.lossShare) {
+					s.after(s.delay(), func() { o.after(0, settle(handle)) })
+				}
+			})
 		})
 	}
 	s.after(delay, deliver)
 }
 
+// sendAnswer calls send once the worker sends an answer, unless its run is over by then.
+func (s *ownersSim) sendAnswer(w *simWorker, send func()) {
+	if s.maxAnswerDelay == 0 {
+		send()
+		return
+	}
+	run := s.cluster.Entry(w.info.ID).Started
+	s.after(s.between(0, s.maxAnswerDelay), func() {
+		if w.up && s.cluster.Entry(w.info.ID).Started == run {
+			send()
+		}
+	})
+}
+
 func (s *ownersSim) indexOf(id platform.WorkerID) int {
 	return slices.IndexFunc(s.workers, func(w *simWorker) bool { return w.info.ID == id })
 }
